Serve a request end to end through entry, gate and controller

Cause: an empty repository. The thin whole path comes first: an entry takes HTTP, routes by a stable hash of the key to a shard, and hands the call over a batched websockets/CBOR link to the gate that is the only sender to the shard's target. Controllers plan target -> gate and shard -> target, write plans with compare-and-swap and witness the gates' leases.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; not part of the tests."""
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for development: a cluster of processes, the demo, proofs."""
--- /dev/null
+++ b/src/jujubeyard/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limits, queues and duplicate detection of a gate."""
--- /dev/null
+++ b/src/jujubeyard/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/jujubeyard/cli/core.py
@@ -0,0 +1,19 @@
+"""Runs the operators' command line."""
+
+import sys
+
+from jujubeyard import context
+from jujubeyard import status
+from jujubeyard.cli import commands
+from jujubeyard.internal import process
+
+PROGRAM = "jujubeyard"
+
+
+def main(
+    args: list[str] | None = None, env: context.Environment | None = None
+) -> status.ExitStatus:
+    """Runs one command."""
+    args = sys.argv[1:] if args is None else args
+    env = env or context.Environment(colours=sys.stdout.isatty())
+    return process.run_command(PROGRAM, commands.Commands(env), args, env)
--- /dev/null
+++ b/src/jujubeyard/controller/__init__.py
@@ -0,0 +1,1 @@
+"""Plans who holds what, witnesses leases, spreads configuration."""
--- /dev/null
+++ b/src/jujubeyard/controller/controller.py
@@ -0,0 +1,388 @@
+"""A controller: heartbeats, witnessing, planning and spreading.
+
+Every VM runs one and none is set aside. What must last is in the platform's
+store; all other state is heard again after a restart.
+"""
+
+import asyncio
+import functools
+
+from jujubeyard import clock
+from jujubeyard import settings
+from jujubeyard.controller import config_store
+from jujubeyard.controller import metrics
+from jujubeyard.controller import ranks
+from jujubeyard.controller import tables
+from jujubeyard.controller import vm_list
+from jujubeyard.events import kinds
+from jujubeyard.internal import node
+from jujubeyard.internal import ticker
+from jujubeyard.lease import witness
+from jujubeyard.link import link
+from jujubeyard.link import messages
+from jujubeyard.link import pool
+from jujubeyard.link import server
+from jujubeyard.manifest import address as addresses
+from jujubeyard.plan import observation
+from jujubeyard.plan import planner
+from jujubeyard.plan import tables as plan_tables
+from jujubeyard.store import client
+from jujubeyard.store import records
+
+TICK_SECONDS = 0.05
+BEAT_SECONDS = 0.25
+PLAN_SECONDS = 0.1
+LEVEL_SECONDS = 2.0
+VM_LIST_SECONDS = 1.0
+FORGET_SECONDS = 30.0
+WARM_UP_SECONDS = 1.5
+"""How long a controller listens before it plans, also after it was paused."""
+
+STALL_SECONDS = 0.5
+"""A tick that is late by this much means that the process was paused."""
+
+MILLISECONDS = 1000.0
+
+
+class Controller:
+    """One controller process."""
+
+    def __init__(
+        self, cfg: settings.ControllerSettings, owner: node.Node
+    ) -> None:
+        now = clock.boottime()
+        self.known = config_store.Known()
+        self.tables = tables.Tables()
+        self.witness = witness.Witness(now)
+        self._cfg = cfg
+        self._node = owner
+        self._store = client.StoreClient(cfg.store)
+        self._writer = config_store.PlanWriter(self._store, cfg.cluster)
+        self._vm_list = vm_list.VmListClient(cfg.vm_list)
+        self._server = server.LinkServer(owner.me, self.handle, owner.faults)
+        self._peers = pool.LinkPool(owner.me, self.handle, owner.faults)
+        self._subscribers: set[link.Link] = set()
+        self._tasks = ticker.Tasks(owner.logger)
+        self._watches: list[asyncio.Task] = []
+        self._writing = False
+        self._store_ok = True
+        self._plan_now = False
+        self._next_beat = 0.0
+        self._next_plan = now + WARM_UP_SECONDS
+        self._next_level = now + LEVEL_SECONDS
+        self._next_vm_list = 0.0
+        self._last_tick = now
+        self._metrics = metrics.ControllerMetrics(owner.registry)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serves until the event is set."""
+        await self._server.start(self._cfg.listen)
+        systems = (
+            self._notice_stall,
+            self._keep_links,
+            self._beat,
+            self._watch_store,
+            self._plan,
+            self._poll_vm_list,
+            self._forget,
+            self._measure,
+        )
+        ticks = ticker.tick_forever(
+            TICK_SECONDS, systems, clock.boottime, self._node.logger
+        )
+        self._tasks.spawn(ticks)
+        await stop.wait()
+        await self._tasks.cancel()
+        await self._peers.stop()
+        await self._server.stop()
+        await self._store.close()
+        await self._vm_list.close()
+
+    def read_status(self) -> dict:
+        """Returns what the admin port shows."""
+        now = clock.boottime()
+        plan = self.known.plan
+        return {
+            "plan_version": plan.version,
+            "config_version": self.known.config_version,
+            "rank": self._rank(now),
+            "store_ok": self._store_ok,
+            "controllers": sorted(
+                beat.witness for beat in self.tables.live_peers(now)
+            ),
+            "gates": sorted(self.tables.live_gates(now)),
+            "witnesses": [
+                [row.name for row in witness_set.members]
+                for witness_set in plan.witness_sets
+            ],
+            "holdings": {name: row.gate for name, row in plan.holdings.items()},
+            "owners": {
+                name: table.owners for name, table in plan.shards.items()
+            },
+            "moving": sum(len(t.previous) for t in plan.shards.values()),
+            "lost": sorted(
+                target
+                for gate in self.tables.live_gates(now).values()
+                for target in gate.lost
+            ),
+            "store_calls": self._store.calls,
+        }
+
+    # Messages.
+
+    @functools.singledispatchmethod
+    def _receive(self, message, peer: link.Link) -> None:
+        del message, peer
+
+    def handle(self, peer: link.Link, message: messages.Message) -> None:
+        """Handles a message of a peer."""
+        self._receive(message, peer)
+
+    @_receive.register
+    def _(self, beat: messages.Beat, peer: link.Link) -> None:
+        now = clock.boottime()
+        self.tables.peers[beat.witness] = tables.PeerRow(beat, now)
+        if beat.plan_version < self.known.plan.version:
+            peer.send(self._plan_push())
+        if beat.config_version < self.known.config_version:
+            peer.send(self._config_push())
+
+    @_receive.register
+    def _(self, renew: messages.Renew, peer: link.Link) -> None:
+        now = clock.boottime()
+        row = self.tables.gates.get(renew.holder)
+        loads = renew.loads or (row.loads if row else [])
+        if row and (row.renew.lost, row.renew.leaving) != (
+            renew.lost,
+            renew.leaving,
+        ):
+            self._plan_now = True
+        self.tables.gates[renew.holder] = tables.GateRow(renew, now, loads)
+        granted = self.witness.promise(renew.holder, renew.plan_version, now)
+        peer.send(
+            messages.Promise(
+                renew.number,
+                self._node.me.name,
+                granted,
+                self.known.plan.version,
+                self.known.config_version,
+            )
+        )
+        if renew.plan_version < self.known.plan.version:
+            peer.send(self._plan_push())
+
+    @_receive.register
+    def _(self, lapse: messages.Lapse, peer: link.Link) -> None:
+        now = clock.boottime()
+        remaining = self.witness.lapse(lapse.holder, lapse.below_version, now)
+        peer.send(
+            messages.LapseReply(
+                lapse.query,
+                self._node.me.name,
+                remaining * MILLISECONDS,
+                self.witness.age(now) * MILLISECONDS,
+            )
+        )
+
+    @_receive.register
+    def _(self, request: messages.Subscribe, peer: link.Link) -> None:
+        self._subscribers.add(peer)
+        peer.send(self._members(clock.boottime()))
+        if request.config_version < self.known.config_version:
+            peer.send(self._config_push())
+        if request.plan_version < self.known.plan.version:
+            peer.send(self._plan_push())
+
+    @_receive.register
+    def _(self, push: messages.PlanPush, peer: link.Link) -> None:
+        del peer
+        self._install_plan(push.body)
+
+    @_receive.register
+    def _(self, push: messages.ConfigPush, peer: link.Link) -> None:
+        del peer
+        self._install_config(push.body)
+
+    # Installing and spreading.
+
+    def _install_plan(self, body: bytes) -> None:
+        if not self.known.install_plan(body):
+            return
+        self._node.record(
+            kinds.EventKind.PLAN_INSTALLED, version=self.known.plan.version
+        )
+        self._spread(self._plan_push())
+
+    def _install_config(self, body: bytes) -> None:
+        if not self.known.install_config(body):
+            return
+        self._node.record(
+            kinds.EventKind.CONFIG_INSTALLED,
+            version=self.known.config_version,
+        )
+        self._plan_now = True
+        self._spread(self._config_push())
+
+    def _spread(self, message: messages.Message) -> None:
+        self._subscribers = {
+            peer for peer in self._subscribers if not peer.closed.is_set()
+        }
+        for peer in (*self._subscribers, *self._peers.links.values()):
+            peer.send(message)
+
+    def _plan_push(self) -> messages.PlanPush:
+        return messages.PlanPush(self.known.plan.version, self.known.plan_body)
+
+    def _config_push(self) -> messages.ConfigPush:
+        return messages.ConfigPush(
+            self.known.config_version, self.known.config_body
+        )
+
+    # Systems.
+
+    def _notice_stall(self, now: float) -> None:
+        if now - self._last_tick > TICK_SECONDS + STALL_SECONDS:
+            self._next_plan = now + WARM_UP_SECONDS
+        self._last_tick = now
+
+    def _keep_links(self, now: float) -> None:
+        del now
+        wanted = set(self._cfg.peers)
+        _, port = addresses.split(self._cfg.listen)
+        for row in self.tables.vms.values():
+            if row.missed_since is None:
+                wanted.add(f"{row.address}:{port}")
+        for row in self.tables.peers.values():
+            wanted.add(row.beat.address)
+        for witness_set in self.known.plan.witness_sets:
+            wanted.update(member.address for member in witness_set.members)
+        wanted.discard(self._cfg.listen)
+        self._peers.want(wanted)
+
+    def _beat(self, now: float) -> None:
+        if now < self._next_beat:
+            return
+        self._next_beat = now + BEAT_SECONDS
+        beat = self._my_beat()
+        for peer in self._peers.links.values():
+            peer.send(beat)
+        members = self._members(now)
+        for peer in self._subscribers:
+            peer.send(members)
+
+    def _my_beat(self) -> messages.Beat:
+        return messages.Beat(
+            self._node.me.name,
+            self._cfg.listen,
+            self._node.zone,
+            self.known.config_version,
+            self.known.plan.version,
+            self._store_ok,
+        )
+
+    def _members(self, now: float) -> messages.Members:
+        beats = [self._my_beat(), *self.tables.live_peers(now)]
+        return messages.Members([[b.witness, b.zone, b.address] for b in beats])
+
+    def _rank(self, now: float) -> int:
+        return ranks.rank_of(self._my_beat(), self.tables.live_peers(now))
+
+    def _watch_store(self, now: float) -> None:
+        if self._watches:
+            self._store_ok = self._store.healthy
+        if self._rank(now) < ranks.WATCHERS:
+            if not self._watches:
+                self._watches = [
+                    self._tasks.spawn(self._watch_config()),
+                    self._tasks.spawn(self._watch_plan()),
+                ]
+            return
+        for task in self._watches:
+            task.cancel()
+        self._watches = []
+
+    async def _watch_config(self) -> None:
+        key = records.config_key(self._cfg.cluster)
+        async for value in self._store.watch(key):
+            self._install_config(value.body)
+
+    async def _watch_plan(self) -> None:
+        key = records.plan_key(self._cfg.cluster)
+        async for value in self._store.watch(key):
+            self._install_plan(value.body)
+
+    def _plan(self, now: float) -> None:
+        warm = now >= self._next_plan
+        early = self._plan_now and now >= self._next_plan - PLAN_SECONDS
+        if self._writing or not (warm or early) or not self._store_ok:
+            return
+        self._next_plan = now + PLAN_SECONDS
+        self._plan_now = False
+        if self.known.config is None or self._rank(now) != 0:
+            return
+        draft = planner.make_plan(self.known.plan, self._observe(now))
+        if draft is None:
+            return
+        self._writing = True
+        self._tasks.spawn(self._write_plan(draft))
+
+    def _observe(self, now: float) -> observation.Observation:
+        may_level = now >= self._next_level
+        if may_level:
+            self._next_level = now + LEVEL_SECONDS
+        beats = [self._my_beat(), *self.tables.live_peers(now)]
+        controllers = {
+            beat.witness: observation.ControllerView(
+                beat.witness, beat.zone, beat.address
+            )
+            for beat in beats
+        }
+        return observation.Observation(
+            self.known.config,
+            self.tables.live_gates(now),
+            controllers,
+            self.tables.gone_vms(now),
+            self.tables.shard_loads(now),
+            may_level,
+        )
+
+    async def _write_plan(self, draft: plan_tables.Plan) -> None:
+        try:
+            written = await self._writer.write(draft)
+        finally:
+            self._writing = False
+        if written.is_err() or written.ok_value is None:
+            self._metrics.plan_writes.labels("unknown").inc()
+            return
+        self._install_plan(written.ok_value)
+        won = self.known.plan.recent_writes[-1:] == draft.recent_writes[-1:]
+        self._metrics.plan_writes.labels("won" if won else "lost").inc()
+        if won:
+            self._node.record(
+                kinds.EventKind.PLAN_WRITTEN, version=draft.version
+            )
+
+    def _poll_vm_list(self, now: float) -> None:
+        if now < self._next_vm_list:
+            return
+        self._next_vm_list = now + VM_LIST_SECONDS
+        self._tasks.spawn(self._read_vm_list())
+
+    async def _read_vm_list(self) -> None:
+        listed = await self._vm_list.read()
+        if listed:
+            self.tables.update_vms(listed, clock.boottime())
+
+    def _forget(self, now: float) -> None:
+        self.tables.forget(now, FORGET_SECONDS)
+        named = set(self.known.plan.gates)
+        for holding in self.known.plan.holdings.values():
+            named.update(holding.previous)
+        self.witness.forget(named, now)
+
+    def _measure(self, now: float) -> None:
+        self._metrics.plan_version.set(self.known.plan.version)
+        self._metrics.config_version.set(self.known.config_version)
+        self._metrics.live_gates.set(len(self.tables.live_gates(now)))
+        self._metrics.holders.set(len(self.witness))
+        self._metrics.store_ok.set(int(self._store_ok))
--- /dev/null
+++ b/src/jujubeyard/controller/core.py
@@ -0,0 +1,39 @@
+"""Starts a controller."""
+
+import asyncio
+
+from jujubeyard import context
+from jujubeyard import settings
+from jujubeyard import status
+from jujubeyard.controller import controller
+from jujubeyard.events import kinds
+from jujubeyard.internal import admin
+from jujubeyard.internal import node
+from jujubeyard.internal import process
+
+PROGRAM = "jujubeyard-controller"
+
+
+async def serve(
+    cfg: settings.ControllerSettings,
+    env: context.Environment,
+    stop: asyncio.Event,
+) -> None:
+    """Serves until the event is set."""
+    owner = node.Node("controller", cfg, env)
+    served = controller.Controller(cfg, owner)
+    port = admin.AdminServer(owner, served.read_status, cfg.allow_faults)
+    await port.start(cfg.admin)
+    owner.record(kinds.EventKind.START, incarnation=owner.me.incarnation)
+    await served.run(stop)
+    owner.record(kinds.EventKind.STOP)
+    await port.stop()
+
+
+def main(
+    args: list[str] | None = None, env: context.Environment | None = None
+) -> status.ExitStatus:
+    """Runs the program."""
+    return process.run_daemon(
+        PROGRAM, settings.ControllerSettings, serve, args, env
+    )
--- /dev/null
+++ b/src/jujubeyard/controller/ranks.py
@@ -0,0 +1,22 @@
+"""Divides work among controllers without an election.
+
+Controllers rank by name among those that are alive, those without the store
+behind all others. The first one plans and the first few watch the store. Two
+that both believe to be first only cost a lost compare-and-swap.
+"""
+
+from jujubeyard.link import messages
+
+WATCHERS = 3
+"""Controllers of a cell that watch the store."""
+
+
+def rank_of(me: messages.Beat, peers: list[messages.Beat]) -> int:
+    """Returns the rank of a controller.
+
+    Args:
+        me: Its own heartbeat.
+        peers: Heartbeats of the others that are alive.
+    """
+    key = (not me.store_ok, me.witness)
+    return sum((not peer.store_ok, peer.witness) < key for peer in peers)
--- /dev/null
+++ b/src/jujubeyard/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Takes callers' HTTP requests and hands them to gates."""
--- /dev/null
+++ b/src/jujubeyard/entry/metrics.py
@@ -0,0 +1,66 @@
+"""Metrics of an entry."""
+
+import datetime
+
+import prometheus_client
+
+from jujubeyard.entry import requests
+
+CALL_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
+MAX_MEMBERS = 10_000
+OTHER_MEMBERS = "(others)"
+
+
+class EntryMetrics:
+    """Counters and gauges of an entry."""
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry):
+        self._members: set[str] = set()
+        self.calls = prometheus_client.Counter(
+            "jujubeyard_calls",
+            "Calls answered, by result code.",
+            ["service", "kind", "code"],
+            registry=registry,
+        )
+        self.refused = prometheus_client.Counter(
+            "jujubeyard_refused_requests",
+            "Requests refused before routing, by result code.",
+            ["code"],
+            registry=registry,
+        )
+        self.seconds = prometheus_client.Histogram(
+            "jujubeyard_call_seconds",
+            "Time from a request to its answer.",
+            ["service", "kind"],
+            buckets=CALL_BUCKETS,
+            registry=registry,
+        )
+        self.usage = prometheus_client.Counter(
+            "jujubeyard_usage",
+            "Calls that ran or may have run, by member and month.",
+            ["service", "kind", "member", "month"],
+            registry=registry,
+        )
+        self.weighted_usage = prometheus_client.Counter(
+            "jujubeyard_weighted_usage",
+            "Weight of calls that ran or may have run.",
+            ["service", "kind", "member", "month"],
+            registry=registry,
+        )
+        self.open_calls = prometheus_client.Gauge(
+            "jujubeyard_open_calls",
+            "Calls that are not answered yet.",
+            registry=registry,
+        )
+
+    def count_usage(self, parsed: requests.ParsedRequest) -> None:
+        """Counts a call for billing."""
+        member = parsed.member
+        if member not in self._members:
+            if len(self._members) >= MAX_MEMBERS:
+                member = OTHER_MEMBERS
+            self._members.add(member)
+        month = datetime.datetime.now(datetime.UTC).strftime("%Y-%m")
+        names = (parsed.service.name, parsed.kind.name, member, month)
+        self.usage.labels(*names).inc()
+        self.weighted_usage.labels(*names).inc(parsed.kind.weight)
--- /dev/null
+++ b/src/jujubeyard/events/__init__.py
@@ -0,0 +1,1 @@
+"""Events of all processes, merged into one time line and checked."""
--- /dev/null
+++ b/src/jujubeyard/events/kinds.py
@@ -0,0 +1,37 @@
+"""Kinds of events in the time line."""
+
+import enum
+
+
+class EventKind(enum.StrEnum):
+    """What happened."""
+
+    START = "start"
+    STOP = "stop"
+    PLAN_WRITTEN = "plan-written"
+    PLAN_INSTALLED = "plan-installed"
+    CONFIG_ACCEPTED = "config-accepted"
+    CONFIG_INSTALLED = "config-installed"
+    TARGET_ACQUIRED = "target-acquired"
+    TARGET_RELEASED = "target-released"
+    TARGET_LOST = "target-lost"
+    TARGET_FOUND = "target-found"
+    TARGET_COLD = "target-cold"
+    TARGET_WARM = "target-warm"
+    SHARD_ACTIVE = "shard-active"
+    SHARD_RELEASED = "shard-released"
+    LEASE_GAINED = "lease-gained"
+    LEASE_LOST = "lease-lost"
+    TAKEOVER = "takeover"
+    SEND = "send"
+    REPLY = "reply"
+    CALL_ANSWERED = "call-answered"
+    GRANT = "grant"
+    REVOKE = "revoke"
+    RUN_START = "run-start"
+    RUN_END = "run-end"
+    RUN_REFUSED = "run-refused"
+    PROCESS_KILLED = "process-killed"
+    PROCESS_TERMINATED = "process-terminated"
+    CALLER_SENT = "caller-sent"
+    CALLER_ANSWERED = "caller-answered"
--- /dev/null
+++ b/src/jujubeyard/gate/gate.py
@@ -0,0 +1,197 @@
+"""A gate: the only sender to each target that it holds."""
+
+import asyncio
+import functools
+
+from jujubeyard import clock
+from jujubeyard import settings
+from jujubeyard.gate import acquire
+from jujubeyard.gate import admit
+from jujubeyard.gate import dispatch
+from jujubeyard.gate import install
+from jujubeyard.gate import lifecycle
+from jujubeyard.gate import metrics
+from jujubeyard.gate import probe
+from jujubeyard.gate import release
+from jujubeyard.gate import report
+from jujubeyard.gate import state
+from jujubeyard.internal import node
+from jujubeyard.internal import ticker
+from jujubeyard.link import link
+from jujubeyard.link import messages
+from jujubeyard.link import pool
+from jujubeyard.link import server
+from jujubeyard.plan import follower
+
+TICK_SECONDS = 0.02
+MAX_CONTROLLERS = 32
+SHUTDOWN_POLL_SECONDS = 0.02
+
+
+class Gate:
+    """One gate process."""
+
+    def __init__(self, cfg: settings.GateSettings, owner: node.Node):
+        followed = follower.Follower(
+            owner,
+            list(cfg.controllers),
+            MAX_CONTROLLERS,
+            self._install,
+            self.handle,
+        )
+        self.state = state.GateState(
+            cfg,
+            owner,
+            metrics.GateMetrics(owner.registry),
+            followed,
+            pool.LinkPool(owner.me, self.handle, owner.faults),
+            ticker.Tasks(owner.logger),
+        )
+        self._reporter = report.Reporter(self.state)
+        self._server = server.LinkServer(owner.me, self.handle, owner.faults)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serves until the event is set, then hands everything over."""
+        gate = self.state
+        await self._server.start(gate.cfg.listen)
+        systems = (
+            gate.follower.keep_links,
+            self._reporter.renew,
+            self._reporter.notice_lease,
+            functools.partial(acquire.acquire_targets, gate),
+            functools.partial(probe.probe_targets, gate),
+            functools.partial(acquire.acquire_shards, gate),
+            functools.partial(dispatch.expire_waiting, gate),
+            self._drop_released,
+            self._measure,
+        )
+        ticks = ticker.tick_forever(
+            TICK_SECONDS, systems, clock.boottime, gate.node.logger
+        )
+        gate.tasks.spawn(ticks)
+        await stop.wait()
+        await self._hand_over()
+        await self._close()
+
+    def read_status(self) -> dict:
+        """Returns what the admin port shows."""
+        gate = self.state
+        now = clock.boottime()
+        return {
+            "plan_version": gate.follower.plan_version,
+            "config_version": gate.follower.config_version,
+            "lease_seconds": round(gate.lease.valid_until - now, 3),
+            "settled_version": self._reporter.settled_version(),
+            "leaving": gate.leaving,
+            "targets": {
+                row.name: {
+                    "state": row.life.state,
+                    "limit": row.ramp.limit,
+                    "used": row.used_slots(now),
+                }
+                for row in gate.targets.values()
+            },
+            "shards": len(gate.shards),
+            "active_shards": sum(s.is_active for s in gate.shards.values()),
+            "queued": {
+                name: len(row.waiting) for name, row in gate.queues.items()
+            },
+            "remembered_ids": len(gate.ids),
+            "hedged": gate.hedges.spent,
+        }
+
+    @functools.singledispatchmethod
+    def _receive(self, message, peer: link.Link) -> None:
+        del message, peer
+
+    def handle(self, peer: link.Link, message: messages.Message) -> None:
+        """Handles a message of a peer."""
+        self._receive(message, peer)
+
+    @_receive.register
+    def _(self, call: messages.Call, peer: link.Link) -> None:
+        admit.admit(self.state, peer, call)
+
+    @_receive.register
+    def _(self, request: messages.CancelCall, peer: link.Link) -> None:
+        row = self.state.calls.get((id(peer), request.query))
+        if row is not None:
+            dispatch.cancel(self.state, row)
+
+    @_receive.register
+    def _(self, promise: messages.Promise, peer: link.Link) -> None:
+        del peer
+        self._reporter.promised(promise)
+
+    @_receive.register
+    def _(self, request: messages.ReleaseTarget, peer: link.Link) -> None:
+        peer.send(release.release_target(self.state, request))
+
+    @_receive.register
+    def _(self, request: messages.ReleaseShards, peer: link.Link) -> None:
+        peer.send(release.release_shards(self.state, request))
+
+    def _install(self) -> None:
+        install.install(self.state)
+        now = clock.boottime()
+        acquire.acquire_targets(self.state, now)
+        acquire.acquire_shards(self.state, now)
+
+    def _drop_released(self, now: float) -> None:
+        del now
+        install.drop_released(self.state)
+
+    async def _hand_over(self) -> None:
+        """Waits until other gates hold all targets and all calls have ended."""
+        gate = self.state
+        gate.leaving = True
+        gate.renew_now = True
+        give_up_at = clock.boottime() + gate.cfg.shutdown_seconds
+        while clock.boottime() < give_up_at:
+            if not gate.calls and not gate.targets and self._is_left():
+                return
+            await asyncio.sleep(SHUTDOWN_POLL_SECONDS)
+        gate.node.logger.warning("targets were not taken over in time")
+        gate.refusing = True
+        while gate.calls:
+            await asyncio.sleep(SHUTDOWN_POLL_SECONDS)
+
+    def _is_left(self) -> bool:
+        """Returns whether no plan row names this gate any more."""
+        plan = self.state.follower.plan
+        if plan is None:
+            return True
+        holder = self.state.holder
+        return not any(
+            holder == row.gate or holder in row.previous
+            for row in plan.holdings.values()
+        )
+
+    async def _close(self) -> None:
+        gate = self.state
+        await gate.tasks.cancel()
+        for row in gate.targets.values():
+            await row.upstream.close()
+        await gate.follower.pool.stop()
+        await gate.gates.stop()
+        await self._server.stop()
+
+    def _measure(self, now: float) -> None:
+        gate = self.state
+        counts = dict.fromkeys(
+            (
+                lifecycle.ACQUIRING,
+                lifecycle.HELD,
+                lifecycle.LOST,
+                lifecycle.RELEASING,
+            ),
+            0,
+        )
+        for row in gate.targets.values():
+            counts[row.life.state] += 1
+        for name, count in counts.items():
+            gate.metrics.held.labels(name).set(count)
+        for name, row in gate.queues.items():
+            gate.metrics.queued.labels(name).set(len(row.waiting))
+        gate.metrics.ids.set(len(gate.ids))
+        gate.metrics.lease.set(max(0.0, gate.lease.valid_until - now))
--- /dev/null
+++ b/src/jujubeyard/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that are not public."""
--- /dev/null
+++ b/src/jujubeyard/internal/admin.py
@@ -0,0 +1,63 @@
+"""The admin port: metrics, status and events over HTTP."""
+
+import collections.abc
+
+from aiohttp import web
+import prometheus_client
+
+from jujubeyard.internal import node
+from jujubeyard.manifest import address as addresses
+
+StatusReader = collections.abc.Callable[[], dict]
+
+
+class AdminServer:
+    """Serves /metrics, /status, /events and, in tests, /faults."""
+
+    def __init__(
+        self, owner: node.Node, read_status: StatusReader, allow_faults: bool
+    ):
+        self._node = owner
+        self._read_status = read_status
+        app = web.Application()
+        app.router.add_get("/metrics", self._get_metrics)
+        app.router.add_get("/status", self._get_status)
+        app.router.add_get("/events", self._get_events)
+        if allow_faults:
+            app.router.add_put("/faults", self._put_faults)
+        self._runner = web.AppRunner(app, access_log=None)
+
+    async def start(self, address: str) -> None:
+        """Starts to listen on "ip:port"."""
+        await self._runner.setup()
+        host, port = addresses.split(address)
+        await web.TCPSite(self._runner, host, port).start()
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        await self._runner.cleanup()
+
+    async def _get_metrics(self, _: web.Request) -> web.Response:
+        body = prometheus_client.generate_latest(self._node.registry)
+        return web.Response(body=body, content_type="text/plain")
+
+    async def _get_status(self, _: web.Request) -> web.Response:
+        me = self._node.me
+        document = {"process": self._node.timeline.process, "name": me.name}
+        document["role"] = me.role
+        document["zone"] = self._node.zone
+        document.update(self._read_status())
+        return web.json_response(document)
+
+    async def _get_events(self, req: web.Request) -> web.Response:
+        try:
+            reading = int(req.query.get("after", "0"))
+        except ValueError as exc:
+            raise web.HTTPBadRequest(text="after: must be a number") from exc
+        return web.json_response(self._node.timeline.since(reading))
+
+    async def _put_faults(self, req: web.Request) -> web.Response:
+        document = await req.json()
+        self._node.faults.drop_from = set(document.get("drop_from", []))
+        self._node.faults.drop_to = set(document.get("drop_to", []))
+        return web.json_response(document)
--- /dev/null
+++ b/src/jujubeyard/lease/__init__.py
@@ -0,0 +1,1 @@
+"""Leases of gates, promised by witnesses."""
--- /dev/null
+++ b/src/jujubeyard/link/__init__.py
@@ -0,0 +1,1 @@
+"""Multiplexed, batched links between the system's processes."""
--- /dev/null
+++ b/src/jujubeyard/load/__init__.py
@@ -0,0 +1,1 @@
+"""A bounded load generator for loopback."""
--- /dev/null
+++ b/src/jujubeyard/manifest/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' manifest: validation and read-only tables."""
--- /dev/null
+++ b/src/jujubeyard/manifest/load.py
@@ -0,0 +1,68 @@
+"""Reads and checks a manifest file."""
+
+import pathlib
+import tomllib
+
+import pydantic
+
+from jujubeyard import errors
+from jujubeyard.manifest import models
+
+
+def read_manifest(path: pathlib.Path) -> dict:
+    """Reads a manifest.
+
+    Args:
+        path: A TOML file.
+
+    Returns:
+        The manifest as a plain document with all defaults filled in.
+
+    Raises:
+        errors.ManifestError: The file can't be read or is not valid.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise errors.ManifestError(f"{path}: {exc}") from exc
+    return parse_manifest(text, str(path))
+
+
+def parse_manifest(text: str, source: str) -> dict:
+    """Checks the text of a manifest.
+
+    Args:
+        text: TOML.
+        source: Name of the text in messages.
+
+    Returns:
+        The manifest as a plain document with all defaults filled in.
+
+    Raises:
+        errors.ManifestError: The text is not a valid manifest.
+    """
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as exc:
+        raise errors.ManifestError(f"{source}: no TOML: {exc}") from exc
+    return check_document(document, source)
+
+
+def check_document(document: dict, source: str) -> dict:
+    """Checks a manifest document and fills in defaults.
+
+    Raises:
+        errors.ManifestError: The document is not a valid manifest.
+    """
+    try:
+        manifest = models.Manifest.model_validate(document)
+    except pydantic.ValidationError as exc:
+        raise errors.ManifestError(describe(exc, source)) from exc
+    return manifest.model_dump(by_alias=True)
+
+
+def describe(exc: pydantic.ValidationError, source: str) -> str:
+    """Returns one line that names file, key and what is allowed."""
+    first = exc.errors(include_url=False)[0]
+    key = ".".join(str(part) for part in first["loc"]) or "(whole file)"
+    return f"{source}: {key}: {first['msg']}"
--- /dev/null
+++ b/src/jujubeyard/manifest/models.py
@@ -0,0 +1,175 @@
+"""Validated models of the manifest, used at the border only."""
+
+import re
+import typing
+
+import pydantic
+
+from jujubeyard.manifest import address as addresses
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+MAX_SHARDS = 65_536
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 65_536
+MAX_DEADLINE_MS = 600_000
+MAX_URGENCY = 9
+MAX_WEIGHT = 1_000_000.0
+LOCATOR = re.compile(r"^(header|query):[A-Za-z0-9_-]+$|^path:[0-9]+$")
+
+Name = typing.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+
+
+class Model(pydantic.BaseModel):
+    """A model that refuses unknown keys and silent conversions."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+
+def _check_locator(value: str) -> str:
+    if not LOCATOR.match(value):
+        raise ValueError('must be "header:NAME", "query:NAME" or "path:INDEX"')
+    return value
+
+
+Locator = typing.Annotated[str, pydantic.AfterValidator(_check_locator)]
+
+
+def _check_address(value: str) -> str:
+    try:
+        addresses.split(value)
+    except ValueError as exc:
+        raise ValueError(f'must be "IP:PORT": {exc}') from exc
+    return value
+
+
+Address = typing.Annotated[str, pydantic.AfterValidator(_check_address)]
+
+
+class Find(Model):
+    """Where a request carries what routing needs.
+
+    Path indexes count the segments after the service's name from 0.
+    """
+
+    key: Locator = "header:X-Key"
+    member: Locator = "header:X-Member"
+    kind: Locator = "header:X-Kind"
+    request_id: Locator = "header:X-Request-Id"
+
+
+class Kind(Model):
+    """One kind of call.
+
+    Attributes:
+        name: Name of the kind.
+        idempotent: Whether running a call twice does no harm.
+        urgency: 0 is the most urgent.
+        weight: What a call counts for in billing and sharing.
+        deadline_ms: Deadline of a call that states none.
+    """
+
+    name: Name
+    idempotent: bool = False
+    urgency: int = pydantic.Field(5, ge=0, le=MAX_URGENCY)
+    weight: float = pydantic.Field(1.0, gt=0, le=MAX_WEIGHT, strict=False)
+    deadline_ms: int = pydantic.Field(2_000, ge=1, le=MAX_DEADLINE_MS)
+
+
+class Target(Model):
+    """One target of a service.
+
+    Attributes:
+        name: Unique over all services.
+        zone: Availability zone.
+        address: "IP:PORT".
+    """
+
+    name: Name
+    zone: Name
+    address: Address
+
+
+class Service(Model):
+    """One service.
+
+    Attributes:
+        name: First segment of the path of its calls.
+        keyed: Whether each key has one owner among the targets.
+        shards: Number of shards of its keys or request ids.
+        slots: Calls that a target runs at once.
+        cold_slots: Calls that a cold target runs at once.
+        warm_calls: Calls that a cold target answers before it bears more.
+        connections: Connections that a target takes.
+        checks_grants: Whether the targets refuse calls without a grant.
+        request_ids: Form of the request ids of non-repeatable kinds; only
+            UUIDs of version 7 are recognized as duplicates after the loss of
+            a gate.
+        queue: Calls that may wait for a target.
+        find: Where requests carry what routing needs.
+        kinds: The kinds of call.
+        targets: The targets.
+    """
+
+    name: Name
+    keyed: bool = False
+    shards: int = pydantic.Field(256, ge=1, le=MAX_SHARDS)
+    slots: int = pydantic.Field(6, ge=1, le=MAX_SLOTS)
+    cold_slots: int = pydantic.Field(1, ge=1, le=MAX_SLOTS)
+    warm_calls: int = pydantic.Field(20, ge=0, le=1_000_000)
+    connections: int = pydantic.Field(100, ge=1, le=MAX_CONNECTIONS)
+    checks_grants: bool = False
+    request_ids: typing.Literal["uuid7", "opaque"] = "uuid7"
+    queue: int = pydantic.Field(200, ge=1, le=100_000)
+    find: Find = Find()
+    kinds: list[Kind] = pydantic.Field(alias="kind", min_length=1)
+    targets: list[Target] = pydantic.Field(alias="target", min_length=1)
+
+    @pydantic.model_validator(mode="after")
+    def _check(self):
+        _check_unique("kind", [kind.name for kind in self.kinds])
+        if self.cold_slots > self.slots:
+            raise ValueError("cold_slots must be at most slots")
+        if self.connections < self.slots:
+            raise ValueError("connections must be at least slots")
+        if self.keyed and self.shards < len(self.targets):
+            raise ValueError("shards must be at least the number of targets")
+        return self
+
+
+class Manifest(Model):
+    """What operators declare.
+
+    Attributes:
+        cluster: Name of the cluster.
+        zones: The availability zones.
+        services: The services.
+    """
+
+    cluster: Name
+    zones: list[Name] = pydantic.Field(min_length=1)
+    services: list[Service] = pydantic.Field(alias="service", min_length=1)
+
+    @pydantic.model_validator(mode="after")
+    def _check(self):
+        _check_unique("zone", self.zones)
+        _check_unique("service", [service.name for service in self.services])
+        targets = [
+            target for service in self.services for target in service.targets
+        ]
+        _check_unique("target", [target.name for target in targets])
+        _check_unique("address", [target.address for target in targets])
+        for target in targets:
+            if target.zone not in self.zones:
+                raise ValueError(
+                    f"target {target.name!r} is in the unknown zone "
+                    f"{target.zone!r}"
+                )
+        return self
+
+
+def _check_unique(what: str, names: list[str]) -> None:
+    seen = set()
+    for name in names:
+        if name in seen:
+            raise ValueError(f"{what} {name!r} stands twice")
+        seen.add(name)
--- /dev/null
+++ b/src/jujubeyard/output/__init__.py
@@ -0,0 +1,1 @@
+"""Output for people and for scripts."""
--- /dev/null
+++ b/src/jujubeyard/output/logs.py
@@ -0,0 +1,24 @@
+"""JSON logs of changes of state."""
+
+import logging
+import typing
+
+from pythonjsonlogger import json as json_logs
+
+LOG_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+
+
+def make_logger(process: str, stream: typing.TextIO) -> logging.Logger:
+    """Returns the logger of a process.
+
+    Args:
+        process: Its name in each line.
+        stream: Where lines go.
+    """
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(json_logs.JsonFormatter(LOG_FORMAT))
+    logger = logging.getLogger(process)
+    logger.handlers = [handler]
+    logger.setLevel(logging.INFO)
+    logger.propagate = False
+    return logger
--- /dev/null
+++ b/src/jujubeyard/plan/__init__.py
@@ -0,0 +1,1 @@
+"""The plan: which gate holds a target, which target owns a shard."""
--- /dev/null
+++ b/src/jujubeyard/plan/follower.py
@@ -0,0 +1,108 @@
+"""Follows plans and configurations that controllers push."""
+
+import asyncio
+import collections.abc
+
+from jujubeyard.events import kinds
+from jujubeyard.internal import node
+from jujubeyard.link import link
+from jujubeyard.link import messages
+from jujubeyard.link import pool
+from jujubeyard.manifest import tables as config_tables
+from jujubeyard.plan import codec
+from jujubeyard.plan import tables
+from jujubeyard.store import records
+
+
+class Follower:
+    """The newest plan and configuration that a gate or an entry has.
+
+    Versions never go back. Until the first ones arrive, both are None.
+
+    Attributes:
+        plan: The installed plan.
+        config: The installed configuration.
+        pool: Links to controllers.
+        changed: Set, and replaced, at each installation.
+    """
+
+    def __init__(
+        self,
+        owner: node.Node,
+        seeds: list[str],
+        max_controllers: int,
+        on_install: collections.abc.Callable[[], None],
+        on_other: link.Handler,
+    ):
+        self.plan: tables.Plan | None = None
+        self.config: config_tables.Config | None = None
+        self.changed = asyncio.Event()
+        self.pool = pool.LinkPool(owner.me, self._handle, owner.faults)
+        self._node = owner
+        self._seeds = seeds
+        self._max_controllers = max_controllers
+        self._on_install = on_install
+        self._on_other = on_other
+        self._subscribed: dict[str, link.Link] = {}
+        self._known: list[str] = []
+
+    @property
+    def plan_version(self) -> int:
+        """Version of the installed plan; 0 if there is none."""
+        return self.plan.version if self.plan else 0
+
+    @property
+    def config_version(self) -> int:
+        """Version of the installed configuration; 0 if there is none."""
+        return self.config.version if self.config else 0
+
+    def keep_links(self, _: float) -> None:
+        """Dials controllers and subscribes at those newly reached."""
+        wanted = list(dict.fromkeys(self._seeds + self._known))
+        self.pool.want(set(wanted[: self._max_controllers]))
+        for address, peer in self.pool.links.items():
+            if self._subscribed.get(address) is not peer:
+                self._subscribed[address] = peer
+                peer.send(
+                    messages.Subscribe(self.plan_version, self.config_version)
+                )
+
+    def ask_again(self) -> None:
+        """Asks all controllers for anything newer."""
+        self._subscribed.clear()
+
+    def _handle(self, peer: link.Link, message: messages.Message) -> None:
+        if isinstance(message, messages.PlanPush):
+            self._install_plan(message)
+        elif isinstance(message, messages.ConfigPush):
+            self._install_config(message)
+        elif isinstance(message, messages.Members):
+            self._known = sorted(str(row[2]) for row in message.controllers)
+        else:
+            self._on_other(peer, message)
+
+    def _install_plan(self, push: messages.PlanPush) -> None:
+        if push.version <= self.plan_version:
+            return
+        self.plan = codec.decode_plan(push.body)
+        self._node.record(
+            kinds.EventKind.PLAN_INSTALLED, version=self.plan.version
+        )
+        self._announce()
+
+    def _install_config(self, push: messages.ConfigPush) -> None:
+        if push.version <= self.config_version:
+            return
+        record = records.decode_config(push.body)
+        self.config = config_tables.build_config(record)
+        self._node.record(
+            kinds.EventKind.CONFIG_INSTALLED, version=record.version
+        )
+        self._announce()
+
+    def _announce(self) -> None:
+        if self.plan is not None and self.config is not None:
+            self._on_install()
+        changed = self.changed
+        self.changed = asyncio.Event()
+        changed.set()
--- /dev/null
+++ b/src/jujubeyard/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems, for development and tests."""
--- /dev/null
+++ b/src/jujubeyard/status.py
@@ -0,0 +1,17 @@
+"""Exit statuses of all programs."""
+
+import enum
+
+
+class ExitStatus(enum.IntEnum):
+    """What a program's exit status means."""
+
+    SUCCESS = 0
+    ERROR = 1
+    USAGE = 2
+    BAD_SETTINGS = 3
+    BAD_MANIFEST = 4
+    CONFLICT = 5
+    STORE_UNAVAILABLE = 6
+    NOT_FOUND = 7
+    INTERRUPTED = 130
--- /dev/null
+++ b/src/jujubeyard/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value store."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,6 @@
+import hypothesis
+
+hypothesis.settings.register_profile(
+    "ci", derandomize=True, deadline=None, print_blob=True
+)
+hypothesis.settings.load_profile("ci")
--- /dev/null
+++ b/tests/faults/test_path.py
@@ -0,0 +1,54 @@
+"""The whole path on real processes, without faults."""
+
+import asyncio
+
+from jujubeyard.load import generator
+from scripts import cluster
+from scripts import history
+
+Kind = cluster.KindSpec
+Stream = generator.Stream
+SPEC = cluster.ClusterSpec(
+    "path",
+    ("a", "b", "c"),
+    3,
+    (
+        cluster.ServiceSpec(
+            "desk",
+            (Kind("read", True, 0), Kind("write", False, 1)),
+            4,
+            keyed=True,
+            checks_grants=True,
+        ),
+        cluster.ServiceSpec(
+            "pool", (Kind("order", False, 1), Kind("look", True)), 3
+        ),
+    ),
+)
+STREAMS = [
+    Stream("desk", "read", True, 60, 40, 1.0),
+    Stream("desk", "write", False, 30, 40),
+    Stream("pool", "order", False, 30),
+    Stream("pool", "look", True, 30),
+]
+
+
+def test_calls_of_each_kind_are_answered(tmp_path):
+    harness = history.Harness(SPEC, tmp_path)
+
+    async def run() -> generator.Generator:
+        fleet = harness.cluster
+        await fleet.bring_up()
+        await harness.record_accepted()
+        entries = [fleet.entry_address(vm) for vm in fleet.vms]
+        load = generator.Generator(entries, 7, harness.history)
+        await load.run(STREAMS, 3.0)
+        return load
+
+    with harness.cluster:
+        load = asyncio.run(run())
+    assert harness.check() == []
+    for report in load.reports.values():
+        assert set(report.codes) == {100}
+        assert report.wrong == 0
+    assert len(load.reports) == len(STREAMS)
--- /dev/null
+++ b/tests/utils/builders.py
@@ -0,0 +1,95 @@
+"""Builds configurations, plans and observations for tests."""
+
+from jujubeyard.manifest import load
+from jujubeyard.manifest import tables as config_tables
+from jujubeyard.plan import observation
+from jujubeyard.store import records
+
+
+def make_manifest(
+    targets: int = 6,
+    zones: tuple[str, ...] = ("a", "b", "c"),
+    keyed: bool = True,
+    shards: int = 32,
+    **service,
+) -> dict:
+    """Returns a checked manifest of one service, "desk"."""
+    document = {
+        "cluster": "test",
+        "zones": list(zones),
+        "service": [
+            {
+                "name": "desk",
+                "keyed": keyed,
+                "shards": shards,
+                "kind": [
+                    {"name": "read", "idempotent": True, "urgency": 0},
+                    {"name": "write", "urgency": 1, "weight": 2.0},
+                ],
+                "target": [
+                    {
+                        "name": f"desk-{number}",
+                        "zone": zones[number % len(zones)],
+                        "address": f"127.0.0.1:{9000 + number}",
+                    }
+                    for number in range(targets)
+                ],
+                **service,
+            }
+        ],
+    }
+    return load.check_document(document, "test")
+
+
+def make_config(
+    manifest: dict,
+    version: int = 1,
+    drained_zones: tuple[str, ...] = (),
+    drained_targets: tuple[str, ...] = (),
+) -> config_tables.Config:
+    """Returns configuration tables."""
+    record = records.ConfigRecord(
+        version, manifest, list(drained_zones), list(drained_targets), {}, []
+    )
+    return config_tables.build_config(record)
+
+
+def make_gate(
+    vm: str, zone: str = "a", version: int = 0, **fields
+) -> observation.GateView:
+    """Returns a live gate that has settled all plans up to a version."""
+    view = {
+        "holder": f"{vm}/1",
+        "zone": zone,
+        "address": f"127.0.0.1:{7100 + int(vm[2:])}",
+        "plan_version": version,
+        "settled_version": version,
+        "leaving": False,
+        "lost": frozenset(),
+        **fields,
+    }
+    return observation.GateView(**view)
+
+
+def make_controller(vm: str, zone: str = "a") -> observation.ControllerView:
+    """Returns a live controller."""
+    address = f"127.0.0.1:{7200 + int(vm[2:])}"
+    return observation.ControllerView(f"{vm}/1", zone, address)
+
+
+def observe(
+    config: config_tables.Config,
+    gates: list[observation.GateView],
+    controllers: int = 3,
+    **fields,
+) -> observation.Observation:
+    """Returns an observation with live gates and controllers."""
+    views = [
+        make_controller(f"vm{n}", "abc"[n % 3]) for n in range(controllers)
+    ]
+    return observation.Observation(
+        config,
+        {gate.holder: gate for gate in gates},
+        {view.name: view for view in views},
+        **fields,
+    )
