--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -140,6 +140,29 @@
     await _cut(harness, "gate", vm, {"drop_from": peers, "drop_to": peers})
 
 
+async def drain_zone_of_cut_gate(harness, rng) -> None:
+    """Drains the zone of a gate that does not hear of it.
+
+    The gate is cut off from all but the entries, some of which keep an old
+    plan and go on sending it calls, while another gate is to hold its targets
+    and gets calls of the other entries.
+    """
+    fleet = harness.cluster
+    vm = _pick_vm(harness, rng)
+    peers = ["controller:*", "gate:*"]
+    stale = fleet.vms[::2]
+    for other in stale:
+        address = fleet.admin_address("entry", other)
+        await fleet.put(address, "/faults", {"drop_from": ["controller:*"]})
+    await asyncio.gather(
+        _cut(harness, "gate", vm, {"drop_from": peers, "drop_to": peers}),
+        harness.operate("zone", "drain", fleet.zone_of(vm)),
+    )
+    for other in stale:
+        await fleet.put(fleet.admin_address("entry", other), "/faults", {})
+    await harness.operate("zone", "restore", fleet.zone_of(vm))
+
+
 async def cut_gate_inbound(harness, rng) -> None:
     """Loses all that others send to a gate, and not what it sends."""
     vm = _pick_vm(harness, rng)
@@ -331,6 +354,7 @@
         freeze_target,
         cut_gate_off,
         cut_gate_from_controllers,
+        drain_zone_of_cut_gate,
         cut_gate_inbound,
         cut_gate_outbound,
         cut_controller_off,
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -52,14 +52,14 @@
         "lease/witness.py",
         "return max(0.0, max(ends, default=now) - now)",
         "return 0.0",
-        f"{_ALONE}[cut_gate_from_controllers]",
+        "tests/lease/test_takeover_machine.py",
     ),
     Mutant(
         "a holder ignores the end of its lease",
         "lease/holder.py",
         "return now < self._valid_until",
         "return self._valid_until > 0.0",
-        f"{_ALONE}[cut_gate_from_controllers]",
+        f"{_ALONE}[drain_zone_of_cut_gate]",
     ),
     Mutant(
         "witnesses promise nothing without the store",
@@ -94,8 +94,8 @@
     Mutant(
         "cold targets get all their slots",
         "admission/ramp.py",
-        "        self.limit = cold_slots\n",
-        "        self.limit = slots\n",
+        "        self.limit = self._cold_slots\n",
+        "        self.limit = self._slots\n",
         f"{_ALONE}[kill_first_controller]",
     ),
     Mutant(
--- a/src/jujubeyard/entry/requests.py
+++ b/src/jujubeyard/entry/requests.py
@@ -1,7 +1,6 @@
 """Reads callers' HTTP requests."""
 
 import dataclasses
-import urllib.parse
 
 from aiohttp import web
 import result
@@ -68,7 +67,7 @@
     budget = _read_budget(req, kind)
     if budget.is_err():
         return budget
-    path = "/" + rest
+    path = req.rel_url.raw_path.removeprefix(f"/{name}") or "/"
     if req.query_string:
         path += "?" + req.rel_url.raw_query_string
     parsed = ParsedRequest(
@@ -78,7 +77,7 @@
         found["member"],
         found["request_id"],
         budget.ok_value,
-        urllib.parse.quote(path, safe="/%?&=+:,;@!$'()*~"),
+        path,
     )
     return result.Ok(parsed)
 
--- a/src/jujubeyard/gate/upstream.py
+++ b/src/jujubeyard/gate/upstream.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 import aiohttp
+import yarl
 
 from jujubeyard.gate import headers
 from jujubeyard.link import messages
@@ -133,7 +134,7 @@
         )
         async with self._http().request(
             call.method,
-            f"http://{self.address}{call.path}",
+            yarl.URL(f"http://{self.address}{call.path}", encoded=True),
             data=call.body or None,
             headers=self._call_headers(call, order, seconds),
             timeout=timeout,
--- /dev/null
+++ b/tests/entry/test_entry.py
@@ -0,0 +1,287 @@
+"""An entry between real callers and a gate whose answers are scripted."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from jujubeyard import codes
+from jujubeyard import settings
+from jujubeyard.entry import core
+from jujubeyard.link import messages
+from jujubeyard.load import generator
+from jujubeyard.plan import codec
+from jujubeyard.plan import planner
+from jujubeyard.plan import tables
+from jujubeyard.store import records
+from tests.utils import builders
+from tests.utils import processes
+
+Code = codes.ResultCode
+
+
+def make_reply(query: int, code: Code, body: bytes = b"") -> messages.CallReply:
+    status = 200 if code is Code.OK else 0
+    return messages.CallReply(query, int(code), status, "", body, "t", 1, 0)
+
+
+class ScriptedGate:
+    """Answers calls with the codes of a script, the last one for ever.
+
+    None closes the link instead of answering; "silent" does not answer.
+    """
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.calls: list[messages.Call] = []
+        self.peer = None
+
+    def answer(self, peer, message) -> None:
+        if not isinstance(message, messages.Call):
+            return
+        self.calls.append(message)
+        self.peer = peer
+        step = self.script[min(len(self.calls), len(self.script)) - 1]
+        if step is None:
+            peer.close()
+        elif step != "silent":
+            peer.send(make_reply(message.query, step, message.body))
+
+
+def make_controller_answer(manifest: dict, gate_address: str):
+    config = records.ConfigRecord(1, manifest, [], [], {}, [])
+    seen = builders.observe(
+        builders.make_config(manifest), [builders.make_gate("vm0")]
+    )
+    plan = planner.make_plan(tables.Plan(), seen)
+    for row in plan.gates.values():
+        row.address = gate_address
+
+    def answer(peer, message) -> None:
+        if isinstance(message, messages.Subscribe):
+            peer.send(messages.ConfigPush(1, config.encode()))
+            peer.send(messages.PlanPush(1, codec.encode_plan(plan)))
+
+    return answer
+
+
+@contextlib.asynccontextmanager
+async def entry_before(script, keyed: bool = True, max_body: int = 1000):
+    gate = ScriptedGate(script)
+    manifest = builders.make_manifest(keyed=keyed)
+    async with processes.FakePeer("gate", gate.answer) as fake:
+        answer = make_controller_answer(manifest, fake.address)
+        async with processes.FakePeer("controller", answer) as controller:
+            cfg = settings.EntrySettings(
+                cluster="test",
+                vm="vm-0",
+                zone="a",
+                secret=processes.SECRET,
+                admin=processes.make_address(),
+                listen=processes.make_address(),
+                controllers=[controller.address],
+                max_body_bytes=max_body,
+            )
+            async with processes.serving(core.serve, cfg):
+                await processes.wait_for(lambda: fake.links)
+                yield cfg.listen, gate
+
+
+READ = {"X_Kind": "read", "X_Key": "k"}
+
+
+def write_headers() -> dict[str, str]:
+    return {
+        "X_Kind": "write",
+        "X_Key": "k",
+        "X_Request_Id": generator.make_request_id(),
+    }
+
+
+SCRIPTS = {
+    "answered": ("read", [Code.OK], Code.OK, 1),
+    "moved, then answered": ("write", [Code.MOVED, Code.OK], Code.OK, 2),
+    "not ready, then answered": (
+        "write",
+        [Code.NOT_READY, Code.NOT_READY, Code.OK],
+        Code.OK,
+        3,
+    ),
+    "refused": ("write", [Code.OVERLOADED], Code.OVERLOADED, 1),
+    "idempotent call sent again": (
+        "read",
+        [Code.OUTCOME_UNKNOWN, Code.OK],
+        Code.OK,
+        2,
+    ),
+    "non-repeatable call not sent again": (
+        "write",
+        [Code.OUTCOME_UNKNOWN, Code.OK],
+        Code.OUTCOME_UNKNOWN,
+        1,
+    ),
+    "non-repeatable call on a broken link": (
+        "write",
+        [None, Code.OK],
+        Code.OUTCOME_UNKNOWN,
+        1,
+    ),
+    "idempotent call on a broken link": ("read", [None, Code.OK], Code.OK, 2),
+    "refusal after an attempt that may have run": (
+        "read",
+        [Code.OUTCOME_UNKNOWN, Code.OVERLOADED],
+        Code.OUTCOME_UNKNOWN,
+        2,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", SCRIPTS)
+async def test_entry_follows_the_outcome(name):
+    kind, script, expected, sends = SCRIPTS[name]
+    headers = READ if kind == "read" else write_headers()
+    async with entry_before(script) as (address, gate):
+        _, code, not_run, _ = await processes.call(
+            address, "/desk/x", b"data", **headers
+        )
+    assert code == expected
+    assert not_run == codes.TABLE[expected].not_run
+    assert len(gate.calls) == sends
+
+
+async def test_deadline_after_reroutes_is_not_run():
+    async with entry_before([Code.MOVED]) as (address, _):
+        _, code, not_run, _ = await processes.call(
+            address, "/desk/x", X_Deadline_Ms="200", **READ
+        )
+    assert (code, not_run) == (Code.DEADLINE_UNREACHABLE, True)
+
+
+async def test_deadline_while_running_is_not_called_not_run():
+    async with entry_before(["silent"]) as (address, _):
+        _, code, not_run, _ = await processes.call(
+            address, "/desk/x", X_Deadline_Ms="150", **write_headers()
+        )
+    assert (code, not_run) == (Code.DEADLINE_EXCEEDED, False)
+
+
+async def test_retry_budget_bounds_extra_sends():
+    calls = 60
+    async with entry_before([Code.OUTCOME_UNKNOWN]) as (address, gate):
+        for _ in range(calls):
+            await processes.call(
+                address, "/desk/x", X_Deadline_Ms="1000", **READ
+            )
+    assert len(gate.calls) <= calls * 1.1 + 10
+
+
+async def test_crossed_answers_reach_their_own_callers():
+    """The gate answers in reverse order."""
+    bodies = [f"body-{n}".encode() for n in range(8)]
+    async with entry_before(["silent"]) as (address, gate):
+        tasks = [
+            asyncio.create_task(
+                processes.call(address, "/desk/x", body, **READ)
+            )
+            for body in bodies
+        ]
+        await processes.wait_for(lambda: len(gate.calls) == len(bodies))
+        for call in reversed(gate.calls):
+            gate.peer.send(make_reply(call.query, Code.OK, call.body))
+        answers = await asyncio.gather(*tasks)
+    assert [answer[3] for answer in answers] == bodies
+
+
+BAD_REQUESTS = {
+    "unknown service": ("/none/x", READ, "POST", b"", Code.UNKNOWN_SERVICE),
+    "no service": ("/", READ, "POST", b"", Code.UNKNOWN_SERVICE),
+    "unknown kind": (
+        "/desk/x",
+        {"X_Kind": "dance", "X_Key": "k"},
+        "POST",
+        b"",
+        Code.UNKNOWN_KIND,
+    ),
+    "no kind": ("/desk/x", {"X_Key": "k"}, "POST", b"", Code.UNKNOWN_KIND),
+    "no key": ("/desk/x", {"X_Kind": "read"}, "POST", b"", Code.MISSING_KEY),
+    "no request id": (
+        "/desk/x",
+        {"X_Kind": "write", "X_Key": "k"},
+        "POST",
+        b"",
+        Code.MISSING_REQUEST_ID,
+    ),
+    "non-repeatable kind by a repeatable method": (
+        "/desk/x",
+        {"X_Kind": "write", "X_Key": "k", "X_Request_Id": "r"},
+        "PUT",
+        b"",
+        Code.BAD_REQUEST,
+    ),
+    "oversize body": (
+        "/desk/x",
+        READ,
+        "POST",
+        b"x" * 1001,
+        Code.BODY_TOO_LARGE,
+    ),
+    "deadline past": (
+        "/desk/x",
+        {**READ, "X_Deadline_Ms": "0"},
+        "POST",
+        b"",
+        Code.DEADLINE_PAST,
+    ),
+    "deadline no number": (
+        "/desk/x",
+        {**READ, "X_Deadline_Ms": "soon"},
+        "POST",
+        b"",
+        Code.BAD_REQUEST,
+    ),
+    "deadline not finite": (
+        "/desk/x",
+        {**READ, "X_Deadline_Ms": "nan"},
+        "POST",
+        b"",
+        Code.BAD_REQUEST,
+    ),
+    "oversize key": (
+        "/desk/x",
+        {"X_Kind": "read", "X_Key": "k" * 2000},
+        "POST",
+        b"",
+        Code.BAD_REQUEST,
+    ),
+}
+
+
+async def test_bad_requests_are_refused_by_number():
+    async with entry_before([Code.OK]) as (address, gate):
+        for name, row in BAD_REQUESTS.items():
+            path, headers, method, body, expected = row
+            status, code, not_run, _ = await processes.call(
+                address, path, body, method, **headers
+            )
+            info = codes.TABLE[expected]
+            assert (code, status) == (expected, info.http_status), name
+            assert not_run is True, name
+        assert gate.calls == []
+        assert (await processes.call(address, "/desk/x", **READ))[1] == Code.OK
+
+
+async def test_malformed_http_does_not_stop_the_entry():
+    async with entry_before([Code.OK]) as (address, _):
+        host, _, port = address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"NONSENSE \x00\xff\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        assert b"400" in line
+        assert (await processes.call(address, "/desk/x", **READ))[1] == Code.OK
+
+
+async def test_path_and_query_reach_the_target():
+    async with entry_before([Code.OK]) as (address, gate):
+        await processes.call(address, "/desk/a%20b/c%2Fd?x=1&y=%26", **READ)
+    assert gate.calls[0].path == "/a%20b/c%2Fd?x=1&y=%26"
--- /dev/null
+++ b/tests/gate/test_gate.py
@@ -0,0 +1,302 @@
+"""A gate between a scripted entry and stand-in targets, in one process."""
+
+import asyncio
+import contextlib
+import time
+import uuid
+
+import pytest
+
+from jujubeyard import codes
+from jujubeyard import settings
+from jujubeyard.gate import core
+from jujubeyard.link import faults
+from jujubeyard.link import link
+from jujubeyard.link import messages
+from jujubeyard.load import generator
+from jujubeyard.plan import codec
+from jujubeyard.plan import planner
+from jujubeyard.plan import tables
+from jujubeyard.standins import target
+from jujubeyard.store import records
+from tests.utils import builders
+from tests.utils import processes
+
+Code = codes.ResultCode
+
+
+class FakeController:
+    """Promises leases and pushes one plan that gives the gate everything."""
+
+    def __init__(self, manifest: dict):
+        self.manifest = manifest
+        self.config = records.ConfigRecord(1, manifest, [], [], {}, [])
+        self.plan: tables.Plan | None = None
+        self.promises = True
+        self.renewals: list[messages.Renew] = []
+
+    def answer(self, peer, message) -> None:
+        if isinstance(message, messages.Subscribe):
+            peer.send(messages.ConfigPush(1, self.config.encode()))
+        if not isinstance(message, messages.Renew):
+            return
+        self.renewals.append(message)
+        if self.plan is None:
+            self.plan = self._make_plan(message)
+        if message.plan_version < self.plan.version:
+            body = codec.encode_plan(self.plan)
+            peer.send(messages.PlanPush(self.plan.version, body))
+        if self.promises:
+            peer.send(
+                messages.Promise(
+                    message.number, "vm-0/1", True, self.plan.version, 1
+                )
+            )
+
+    def _make_plan(self, renew: messages.Renew) -> tables.Plan:
+        gate = builders.make_gate(
+            "vm0", holder=renew.holder, address=renew.address
+        )
+        seen = builders.observe(
+            builders.make_config(self.manifest), [gate], controllers=1
+        )
+        plan = planner.make_plan(tables.Plan(), seen)
+        plan.witness_sets[0].members[0].name = "vm-0/1"
+        return plan
+
+
+class FakeEntry:
+    """Sends calls to a gate over a link."""
+
+    def __init__(self, opened: link.Link):
+        self.link = opened
+
+    async def call(
+        self, kind: str, request_id: str = "", **fields
+    ) -> messages.CallReply:
+        row = {
+            "query": 0,
+            "service": "desk",
+            "kind": kind,
+            "shard": 0,
+            "key": "k",
+            "member": "m",
+            "request_id": request_id,
+            "budget": 2000.0,
+            "plan_version": 1,
+            "method": "POST",
+            "path": "/x",
+            "content_type": "text/plain",
+            "body": request_id.encode(),
+            **fields,
+        }
+        reply = await self.link.ask(messages.Call(**row))
+        return reply
+
+
+@contextlib.asynccontextmanager
+async def gate_before(targets: int = 1, service: dict | None = None, **standin):
+    """Yields a FakeEntry and the FakeController."""
+    manifest = builders.make_manifest(targets, shards=4, **(service or {}))
+    async with contextlib.AsyncExitStack() as stack:
+        for row in manifest["service"][0]["target"]:
+            row["address"] = processes.make_address()
+            cfg = target.TargetSettings(
+                name=row["name"], listen=row["address"], **standin
+            )
+            if standin.get("slots", 6) > 0:
+                serving = processes.serving(target.serve, cfg)
+                await stack.enter_async_context(serving)
+        controller = FakeController(manifest)
+        fake = processes.FakePeer("controller", controller.answer)
+        await stack.enter_async_context(fake)
+        cfg = settings.GateSettings(
+            cluster="test",
+            vm="vm-0",
+            zone="a",
+            secret=processes.SECRET,
+            admin=processes.make_address(),
+            listen=processes.make_address(),
+            controllers=[fake.address],
+            shutdown_seconds=0.0,
+        )
+        await stack.enter_async_context(processes.serving(core.serve, cfg))
+        opened = await _dial(cfg.listen)
+        running = asyncio.create_task(opened.run())
+        await processes.wait_for(
+            lambda: (
+                controller.renewals
+                and controller.renewals[-1].settled_version > 0
+            )
+        )
+        yield FakeEntry(opened), controller
+        opened.close()
+        await running
+
+
+async def _dial(address: str) -> link.Link:
+    for _ in range(200):
+        try:
+            return await link.connect(
+                address,
+                processes.make_identity("entry"),
+                lambda *_: None,
+                faults.LinkFaults(),
+            )
+        except OSError:
+            await asyncio.sleep(0.02)
+    raise TimeoutError("the gate does not listen")
+
+
+def make_uuid7(seconds_ago: float) -> str:
+    value = uuid.UUID(generator.make_request_id()).int
+    milliseconds = int((time.time() - seconds_ago) * 1000)
+    value = value & ((1 << 80) - 1) | milliseconds << 80
+    return str(uuid.UUID(int=value))
+
+
+async def test_answer_is_whole():
+    async with gate_before(work_ms=1.0) as (entry, _):
+        reply = await entry.call("read", body=b"x" * 100_000)
+    assert (reply.code, reply.status) == (Code.OK, 200)
+    assert reply.body.count(b"x") == 100_000 + 1
+
+
+IDS = {
+    "fresh": (generator.make_request_id, Code.OK),
+    "of the future": (lambda: make_uuid7(-30.0), Code.BAD_REQUEST_ID),
+    "no UUID": (lambda: "order-1", Code.BAD_REQUEST_ID),
+    "older than the memory": (
+        lambda: make_uuid7(3600.0),
+        Code.DUPLICATE_UNDECIDED,
+    ),
+}
+
+
+async def test_request_ids_are_checked():
+    async with gate_before(work_ms=1.0) as (entry, _):
+        for name, (make, expected) in IDS.items():
+            reply = await entry.call("write", make())
+            assert reply.code == expected, name
+
+
+async def test_duplicate_joins_the_first_call():
+    async with gate_before(work_ms=50.0) as (entry, _):
+        request_id = generator.make_request_id()
+        first, second = await asyncio.gather(
+            entry.call("write", request_id), entry.call("write", request_id)
+        )
+        third = await entry.call("write", request_id)
+    assert [first.code, second.code, third.code] == [
+        Code.OK,
+        Code.DUPLICATE_JOINED,
+        Code.DUPLICATE_JOINED,
+    ]
+    assert first.body == second.body == third.body
+
+
+async def test_refused_id_may_be_used_again():
+    async with gate_before(work_ms=1.0) as (entry, _):
+        request_id = generator.make_request_id()
+        late = await entry.call("write", request_id, budget=0.0)
+        reply = await entry.call("write", request_id)
+    assert (late.code, reply.code) == (Code.DEADLINE_PAST, Code.OK)
+
+
+async def test_urgent_call_passes_bulk():
+    async with gate_before(
+        work_ms=30.0, service={"slots": 1, "cold_slots": 1}
+    ) as (entry, _):
+        order = []
+
+        async def send(kind: str, name: str) -> None:
+            await entry.call(kind, generator.make_request_id())
+            order.append(name)
+
+        tasks = [asyncio.create_task(send("write", f"b{n}")) for n in range(4)]
+        await asyncio.sleep(0.005)
+        tasks.append(asyncio.create_task(send("read", "urgent")))
+        await asyncio.gather(*tasks)
+    assert order.index("urgent") <= 1
+
+
+async def test_full_queue_refuses_the_least_urgent():
+    async with gate_before(
+        work_ms=80.0, service={"queue": 2, "slots": 1, "cold_slots": 1}
+    ) as (entry, _):
+        writes = [
+            asyncio.create_task(
+                entry.call("write", generator.make_request_id())
+            )
+            for _ in range(3)
+        ]
+        await asyncio.sleep(0.02)
+        read = asyncio.create_task(entry.call("read"))
+        replies = await asyncio.gather(*writes)
+        assert (await read).code == Code.OK
+    found = sorted(reply.code for reply in replies)
+    assert found == [Code.OK, Code.OK, Code.OVERLOADED]
+
+
+async def test_hopeless_call_is_refused_early():
+    async with gate_before(
+        work_ms=100.0, service={"slots": 1, "cold_slots": 1}
+    ) as (entry, _):
+        await entry.call("read")
+        tasks = [asyncio.create_task(entry.call("read")) for _ in range(6)]
+        await asyncio.sleep(0.01)
+        started = time.monotonic()
+        reply = await entry.call("read", budget=150.0)
+        waited = time.monotonic() - started
+        await asyncio.gather(*tasks)
+    assert reply.code == Code.DEADLINE_UNREACHABLE
+    assert waited < 0.15
+
+
+async def test_dead_target_is_reported_lost_and_calls_did_not_run():
+    async with gate_before(slots=0) as (entry, controller):
+        reply = await entry.call("read")
+        assert codes.TABLE[Code(reply.code)].not_run
+        await processes.wait_for(
+            lambda: controller.renewals[-1].lost == ["desk-0"]
+        )
+        reply = await entry.call("read")
+        assert reply.code == Code.NOT_READY
+
+
+async def test_gate_without_promises_stops():
+    async with gate_before(work_ms=1.0) as (entry, controller):
+        assert (await entry.call("read")).code == Code.OK
+        controller.promises = False
+        await asyncio.sleep(1.0)
+        assert (await entry.call("read")).code == Code.LEASE_LAPSED
+        controller.promises = True
+        await asyncio.sleep(0.5)
+        assert (await entry.call("read")).code == Code.OK
+
+
+@pytest.mark.parametrize("checks_grants", [True, False])
+async def test_keyed_call_for_a_shard_elsewhere_is_moved(checks_grants):
+    async with gate_before(
+        work_ms=1.0,
+        checks_grants=checks_grants,
+        service={"checks_grants": checks_grants},
+    ) as (entry, _):
+        assert (await entry.call("read", shard=3)).code == Code.OK
+        assert (await entry.call("read", shard=77)).code == Code.MOVED
+        assert (await entry.call("read", shard=-1)).code == Code.MOVED
+
+
+async def test_cancelled_waiting_call_is_not_sent():
+    async with gate_before(
+        work_ms=60.0, service={"slots": 1, "cold_slots": 1}
+    ) as (entry, _):
+        first = asyncio.create_task(entry.call("read"))
+        await asyncio.sleep(0.02)
+        waiting = asyncio.create_task(entry.call("read"))
+        await asyncio.sleep(0.01)
+        query = max(entry.link._waiting)
+        entry.link.send(messages.CancelCall(query))
+        reply = await waiting
+        assert codes.TABLE[Code(reply.code)].not_run
+        assert (await first).code == Code.OK
--- /dev/null
+++ b/tests/test_codes.py
@@ -0,0 +1,36 @@
+"""The table of result codes and its page."""
+
+import pathlib
+import re
+
+from jujubeyard import codes
+
+PAGE = pathlib.Path(__file__).parents[1] / "docs" / "result-codes.md"
+ROW = re.compile(r"^\| (\d+) \| `(\w+)` \| (\d+) \| (yes|no) \| (.*) \|$")
+
+
+def test_page_shows_the_table():
+    shown = [
+        match.groups()
+        for match in map(ROW.match, PAGE.read_text().splitlines())
+        if match
+    ]
+    expected = [
+        (
+            str(int(code)),
+            code.name.lower(),
+            str(info.http_status),
+            "yes" if info.not_run else "no",
+            info.summary,
+        )
+        for code, info in codes.TABLE.items()
+    ]
+    assert shown == expected
+
+
+def test_every_code_is_described():
+    assert set(codes.TABLE) == set(codes.ResultCode)
+
+
+def test_rerouted_codes_did_not_run():
+    assert all(codes.TABLE[code].not_run for code in codes.REROUTABLE)
