Spend less on counters, dispatch, cookies and collections on the path

Cause: a sampling profile of entry and gate at 64 calls in flight: label look-ups 5% and usage counting 7.5% of the entry, singledispatchmethod up to 9% (with what it calls) of the gate, cookie handling in the client session.

Change: labelled children are looked up once; singledispatch functions in place of methods; no cookie jar; events are built only while recorded; the collector runs after 20,000 new objects.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -56,6 +56,7 @@
         work_ms: Median time of a call.
         checks_grants: Whether targets check grants.
         queue: Calls that may wait for a target.
+        connections: Connections that a target takes.
     """
 
     name: str
@@ -69,6 +70,7 @@
     work_ms: float = 5.0
     checks_grants: bool = False
     queue: int = 200
+    connections: int = 130
 
 
 @dataclasses.dataclass(frozen=True)
@@ -432,6 +434,7 @@
         f"slots = {service.slots}",
         f"cold_slots = {service.cold_slots}",
         f"warm_calls = {service.warm_calls}",
+        f"connections = {service.connections}",
         f"checks_grants = {str(service.checks_grants).lower()}",
         f"queue = {service.queue}",
     ]
--- a/src/jujubeyard/entry/entry.py
+++ b/src/jujubeyard/entry/entry.py
@@ -226,7 +226,8 @@
         load = self._loads.setdefault(route.address, routing.GateLoad())
         load.outstanding += 1
         try:
-            reply = await asyncio.wait_for(fut, left + REPLY_GRACE_SECONDS)
+            async with asyncio.timeout(left + REPLY_GRACE_SECONDS):
+                reply = await fut
             load.queued = reply.queued
             return reply
         except ConnectionError:
@@ -243,10 +244,12 @@
     def _count(self, parsed, reply: messages.CallReply, seconds) -> None:
         service = parsed.service.name
         kind = parsed.kind.name
-        self._metrics.calls.labels(service, kind, reply.code).inc()
-        self._metrics.seconds.labels(service, kind).observe(seconds)
+        self._metrics.calls.child(service, kind, reply.code).inc()
+        self._metrics.seconds.child(service, kind).observe(seconds)
         if not codes.TABLE[codes.ResultCode(reply.code)].not_run:
             self._metrics.count_usage(parsed)
+        if not self._node.timeline.records_calls:
+            return
         self._node.timeline.add(
             kinds.EventKind.CALL_ANSWERED,
             service=service,
@@ -260,6 +263,7 @@
     def _measure(self, now: float) -> None:
         del now
         self._metrics.open_calls.set(self._open_calls)
+        self._metrics.update_month()
 
 
 def _ignore(peer: link.Link, message: messages.Message) -> None:
--- a/src/jujubeyard/entry/metrics.py
+++ b/src/jujubeyard/entry/metrics.py
@@ -5,6 +5,7 @@
 import prometheus_client
 
 from jujubeyard.entry import requests
+from jujubeyard.internal import counters
 
 CALL_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
 MAX_MEMBERS = 10_000
@@ -16,11 +17,15 @@
 
     def __init__(self, registry: prometheus_client.CollectorRegistry):
         self._members: set[str] = set()
-        self.calls = prometheus_client.Counter(
-            "jujubeyard_calls",
-            "Calls answered, by result code.",
-            ["service", "kind", "code"],
-            registry=registry,
+        self.month = ""
+        self.update_month()
+        self.calls = counters.Labelled(
+            prometheus_client.Counter(
+                "jujubeyard_calls",
+                "Calls answered, by result code.",
+                ["service", "kind", "code"],
+                registry=registry,
+            )
         )
         self.refused = prometheus_client.Counter(
             "jujubeyard_refused_requests",
@@ -28,24 +33,30 @@
             ["code"],
             registry=registry,
         )
-        self.seconds = prometheus_client.Histogram(
-            "jujubeyard_call_seconds",
-            "Time from a request to its answer.",
-            ["service", "kind"],
-            buckets=CALL_BUCKETS,
-            registry=registry,
+        self.seconds = counters.Labelled(
+            prometheus_client.Histogram(
+                "jujubeyard_call_seconds",
+                "Time from a request to its answer.",
+                ["service", "kind"],
+                buckets=CALL_BUCKETS,
+                registry=registry,
+            )
         )
-        self.usage = prometheus_client.Counter(
-            "jujubeyard_usage",
-            "Calls that ran or may have run, by member and month.",
-            ["service", "kind", "member", "month"],
-            registry=registry,
+        self._usage = counters.Labelled(
+            prometheus_client.Counter(
+                "jujubeyard_usage",
+                "Calls that ran or may have run, by member and month.",
+                ["service", "kind", "member", "month"],
+                registry=registry,
+            )
         )
-        self.weighted_usage = prometheus_client.Counter(
-            "jujubeyard_weighted_usage",
-            "Weight of calls that ran or may have run.",
-            ["service", "kind", "member", "month"],
-            registry=registry,
+        self._weighted_usage = counters.Labelled(
+            prometheus_client.Counter(
+                "jujubeyard_weighted_usage",
+                "Weight of calls that ran or may have run.",
+                ["service", "kind", "member", "month"],
+                registry=registry,
+            )
         )
         self.open_calls = prometheus_client.Gauge(
             "jujubeyard_open_calls",
@@ -60,7 +71,10 @@
             if len(self._members) >= MAX_MEMBERS:
                 member = OTHER_MEMBERS
             self._members.add(member)
-        month = datetime.datetime.now(datetime.UTC).strftime("%Y-%m")
-        names = (parsed.service.name, parsed.kind.name, member, month)
-        self.usage.labels(*names).inc()
-        self.weighted_usage.labels(*names).inc(parsed.kind.weight)
+        names = (parsed.service.name, parsed.kind.name, member, self.month)
+        self._usage.child(*names).inc()
+        self._weighted_usage.child(*names).inc(parsed.kind.weight)
+
+    def update_month(self) -> None:
+        """Reads the month that usage is counted for."""
+        self.month = datetime.datetime.now(datetime.UTC).strftime("%Y-%m")
--- a/src/jujubeyard/gate/answer.py
+++ b/src/jujubeyard/gate/answer.py
@@ -54,7 +54,9 @@
     )
     row.peer.send(reply)
     _settle_duplicates(gate, row, reply)
-    gate.metrics.calls.labels(call.service, str(int(code))).inc()
+    gate.metrics.calls.child(call.service, int(code)).inc()
+    if not gate.node.timeline.records_calls:
+        return
     gate.node.timeline.add(
         kinds.EventKind.REPLY,
         service=call.service,
--- a/src/jujubeyard/gate/dispatch.py
+++ b/src/jujubeyard/gate/dispatch.py
@@ -139,6 +139,8 @@
 
 
 def _record_send(gate, row: tables.CallRow, target) -> None:
+    if not gate.node.timeline.records_calls:
+        return
     gate.node.timeline.add(
         kinds.EventKind.SEND,
         service=row.call.service,
@@ -170,7 +172,7 @@
     if reply.refused:
         _finish_refused(gate, row, target, reply.refused)
         return
-    gate.metrics.seconds.labels(row.call.service).observe(now - started)
+    gate.metrics.seconds.child(row.call.service).observe(now - started)
     if target.ramp.observe_success(now - started):
         _record_cold(gate, target, "slow")
     code = codes.ResultCode.OK
--- a/src/jujubeyard/gate/gate.py
+++ b/src/jujubeyard/gate/gate.py
@@ -100,37 +100,14 @@
             "hedged": gate.hedges.spent,
         }
 
-    @functools.singledispatchmethod
-    def _receive(self, message, peer: link.Link) -> None:
-        del message, peer
-
     def handle(self, peer: link.Link, message: messages.Message) -> None:
         """Handles a message of a peer."""
-        self._receive(message, peer)
-
-    @_receive.register
-    def _(self, call: messages.Call, peer: link.Link) -> None:
-        admit.admit(self.state, peer, call)
-
-    @_receive.register
-    def _(self, request: messages.CancelCall, peer: link.Link) -> None:
-        row = self.state.calls.get((id(peer), request.query))
-        if row is not None:
-            dispatch.cancel(self.state, row)
+        _receive(message, self, peer)
 
-    @_receive.register
-    def _(self, promise: messages.Promise, peer: link.Link) -> None:
-        del peer
+    def promised(self, promise: messages.Promise) -> None:
+        """Takes a controller's answer to a renewal in."""
         self._reporter.promised(promise)
 
-    @_receive.register
-    def _(self, request: messages.ReleaseTarget, peer: link.Link) -> None:
-        peer.send(release.release_target(self.state, request))
-
-    @_receive.register
-    def _(self, request: messages.ReleaseShards, peer: link.Link) -> None:
-        peer.send(release.release_shards(self.state, request))
-
     def _install(self) -> None:
         install.install(self.state)
         now = clock.boottime()
@@ -195,3 +172,37 @@
             gate.metrics.queued.labels(name).set(len(row.waiting))
         gate.metrics.ids.set(len(gate.ids))
         gate.metrics.lease.set(max(0.0, gate.lease.valid_until - now))
+
+
+@functools.singledispatch
+def _receive(message, gate: Gate, peer: link.Link) -> None:
+    """Handles a message; those of other types are passed over."""
+    del message, gate, peer
+
+
+@_receive.register
+def _(call: messages.Call, gate: Gate, peer: link.Link) -> None:
+    admit.admit(gate.state, peer, call)
+
+
+@_receive.register
+def _(request: messages.CancelCall, gate: Gate, peer: link.Link) -> None:
+    row = gate.state.calls.get((id(peer), request.query))
+    if row is not None:
+        dispatch.cancel(gate.state, row)
+
+
+@_receive.register
+def _(promise: messages.Promise, gate: Gate, peer: link.Link) -> None:
+    del peer
+    gate.promised(promise)
+
+
+@_receive.register
+def _(request: messages.ReleaseTarget, gate: Gate, peer: link.Link) -> None:
+    peer.send(release.release_target(gate.state, request))
+
+
+@_receive.register
+def _(request: messages.ReleaseShards, gate: Gate, peer: link.Link) -> None:
+    peer.send(release.release_shards(gate.state, request))
--- a/src/jujubeyard/gate/metrics.py
+++ b/src/jujubeyard/gate/metrics.py
@@ -2,6 +2,8 @@
 
 import prometheus_client
 
+from jujubeyard.internal import counters
+
 CALL_BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
 
 
@@ -9,18 +11,22 @@
     """Counters and gauges of a gate."""
 
     def __init__(self, registry: prometheus_client.CollectorRegistry):
-        self.calls = prometheus_client.Counter(
-            "jujubeyard_gate_calls",
-            "Calls answered, by service and result code.",
-            ["service", "code"],
-            registry=registry,
+        self.calls = counters.Labelled(
+            prometheus_client.Counter(
+                "jujubeyard_gate_calls",
+                "Calls answered, by service and result code.",
+                ["service", "code"],
+                registry=registry,
+            )
         )
-        self.seconds = prometheus_client.Histogram(
-            "jujubeyard_target_seconds",
-            "Time of calls at targets.",
-            ["service"],
-            buckets=CALL_BUCKETS,
-            registry=registry,
+        self.seconds = counters.Labelled(
+            prometheus_client.Histogram(
+                "jujubeyard_target_seconds",
+                "Time of calls at targets.",
+                ["service"],
+                buckets=CALL_BUCKETS,
+                registry=registry,
+            )
         )
         self.held = prometheus_client.Gauge(
             "jujubeyard_held_targets",
--- a/src/jujubeyard/gate/upstream.py
+++ b/src/jujubeyard/gate/upstream.py
@@ -245,6 +245,7 @@
             connector = _GuardedConnector(self._guard, self._connections)
             self._session = aiohttp.ClientSession(
                 connector=connector,
+                cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 skip_auto_headers=("User-Agent", "Accept-Encoding"),
             )
--- a/src/jujubeyard/internal/process.py
+++ b/src/jujubeyard/internal/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import gc
 import io
 import pathlib
 import signal
@@ -18,6 +19,9 @@
 from jujubeyard import settings
 from jujubeyard import status
 
+GARBAGE_THRESHOLD = 20_000
+"""Objects created before a collection; calls leave few cycles behind."""
+
 Main = collections.abc.Callable[
     [object, context.Environment, asyncio.Event],
     collections.abc.Coroutine[None, None, None],
@@ -124,6 +128,8 @@
 
 
 async def _run_until_signal(main: Main, cfg, env) -> None:
+    gc.freeze()
+    gc.set_threshold(GARBAGE_THRESHOLD)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
