Cut the idle cost of control; measure its slopes

Each heartbeat carried the list of controllers to every subscriber (quadratic), gates renewed at every controller, systems looped over all shards and set labelled gauges 50 times a second, and the first controller planned ten times a second on unchanged facts.

Change: the list goes out when it changes; renewals go to the witnesses and the three first controllers; a controller that becomes one of these listens for 1.5 s before it plans; loops are skipped while nothing is pending; a plan is tried only on news.

Ruled out: fewer heartbeats alone, which would lengthen detection.

--- a/src/jujubeyard/controller/controller.py
+++ b/src/jujubeyard/controller/controller.py
@@ -30,13 +30,15 @@
 from jujubeyard.store import records
 
 TICK_SECONDS = 0.05
-BEAT_SECONDS = 0.25
+SLOW_TICK_SECONDS = 0.4
+BEAT_SECONDS = 0.3
 PLAN_SECONDS = 0.1
 LEVEL_SECONDS = 2.0
 VM_LIST_SECONDS = 1.0
 FORGET_SECONDS = 30.0
 WARM_UP_SECONDS = 1.5
-"""How long a controller listens before it plans, also after it was paused."""
+"""How long a controller listens before it plans: after its start, a pause, or
+when it becomes one of those that gates report to."""
 
 STALL_SECONDS = 0.5
 """A tick that is late by this much means that the process was paused."""
@@ -72,25 +74,23 @@
         self._next_level = now + LEVEL_SECONDS
         self._next_vm_list = 0.0
         self._last_tick = now
+        self._told_members = messages.Members([])
+        self._watching_since = now
+        self._planned_from: tuple | None = None
         self._metrics = metrics.ControllerMetrics(owner.registry)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until the event is set."""
         await self._server.start(self._cfg.listen)
-        systems = (
-            self._notice_stall,
+        self._tick(TICK_SECONDS, self._notice_stall, self._beat, self._plan)
+        self._tick(
+            SLOW_TICK_SECONDS,
             self._keep_links,
-            self._beat,
             self._watch_store,
-            self._plan,
             self._poll_vm_list,
             self._forget,
             self._measure,
         )
-        ticks = ticker.tick_forever(
-            TICK_SECONDS, systems, clock.boottime, self._node.logger
-        )
-        self._tasks.spawn(ticks)
         await stop.wait()
         await self._tasks.cancel()
         await self._peers.stop()
@@ -98,6 +98,13 @@
         await self._store.close()
         await self._vm_list.close()
 
+    def _tick(self, seconds: float, *systems: ticker.System) -> None:
+        self._tasks.spawn(
+            ticker.tick_forever(
+                seconds, systems, clock.boottime, self._node.logger
+            )
+        )
+
     def read_status(self) -> dict:
         """Returns what the admin port shows."""
         now = clock.boottime()
@@ -267,8 +274,10 @@
         for peer in self._peers.links.values():
             peer.send(beat)
         members = self._members(now)
-        for peer in self._subscribers:
-            peer.send(members)
+        if members != self._told_members:
+            self._told_members = members
+            for peer in self._subscribers:
+                peer.send(members)
 
     def _my_beat(self) -> messages.Beat:
         return messages.Beat(
@@ -282,7 +291,8 @@
 
     def _members(self, now: float) -> messages.Members:
         beats = [self._my_beat(), *self.tables.live_peers(now)]
-        return messages.Members([[b.witness, b.zone, b.address] for b in beats])
+        rows = sorted([b.witness, b.zone, b.address] for b in beats)
+        return messages.Members(rows)
 
     def _rank(self, now: float) -> int:
         return ranks.rank_of(self._my_beat(), self.tables.live_peers(now))
@@ -292,6 +302,7 @@
             self._store_ok = self._store.healthy
         if self._rank(now) < ranks.WATCHERS:
             if not self._watches:
+                self._watching_since = now
                 self._watches = [
                     self._tasks.spawn(self._watch_config()),
                     self._tasks.spawn(self._watch_plan()),
@@ -318,14 +329,33 @@
             return
         self._next_plan = now + PLAN_SECONDS
         self._plan_now = False
-        if self.known.config is None or self._rank(now) != 0:
+        heard = now - self._watching_since >= WARM_UP_SECONDS
+        if self.known.config is None or not heard or self._rank(now) != 0:
+            return
+        seen = self._observe(now)
+        if not self._is_news(seen):
             return
-        draft = planner.make_plan(self.known.plan, self._observe(now))
+        draft = planner.make_plan(self.known.plan, seen)
         if draft is None:
             return
+        self._planned_from = None
         self._writing = True
         self._tasks.spawn(self._write_plan(draft))
 
+    def _is_news(self, seen: observation.Observation) -> bool:
+        """Returns whether a plan may differ from the latest attempt."""
+        news = (
+            self.known.plan.version,
+            seen.config.version,
+            seen.gates,
+            seen.controllers,
+            seen.gone,
+        )
+        if news == self._planned_from and not seen.may_level:
+            return False
+        self._planned_from = news
+        return True
+
     def _observe(self, now: float) -> observation.Observation:
         may_level = now >= self._next_level
         if may_level:
@@ -366,6 +396,9 @@
         if now < self._next_vm_list:
             return
         self._next_vm_list = now + VM_LIST_SECONDS
+        alone = not self.tables.live_peers(now)
+        if not alone and self._rank(now) >= ranks.WATCHERS:
+            return
         self._tasks.spawn(self._read_vm_list())
 
     async def _read_vm_list(self) -> None:
--- a/src/jujubeyard/controller/ranks.py
+++ b/src/jujubeyard/controller/ranks.py
@@ -8,7 +8,7 @@
 from jujubeyard.link import messages
 
 WATCHERS = 3
-"""Controllers of a cell that watch the store."""
+"""Controllers of a cell that watch the store and that gates report to."""
 
 
 def rank_of(me: messages.Beat, peers: list[messages.Beat]) -> int:
--- a/src/jujubeyard/entry/entry.py
+++ b/src/jujubeyard/entry/entry.py
@@ -38,6 +38,7 @@
 CODE_HEADER = "Jujubeyard-Code"
 NOT_RUN_HEADER = "Jujubeyard-Not-Run"
 SHUTDOWN_POLL_SECONDS = 0.02
+MEASURE_SECONDS = 1.0
 BALANCER_SECONDS = 1.0
 """How long a leaving entry still accepts calls, until the balancer, which
 reads its health, sends none."""
@@ -62,6 +63,7 @@
         self._retries = budget.Budget(RETRY_RATIO, RETRY_BURST)
         self._rng = random.Random(owner.me.name)
         self._metrics = metrics.EntryMetrics(owner.registry)
+        self._next_measure = 0.0
         self._open_calls = 0
         self._leaving = False
         self._server = web.Server(self._serve, access_log=None)
@@ -261,7 +263,9 @@
         )
 
     def _measure(self, now: float) -> None:
-        del now
+        if now < self._next_measure:
+            return
+        self._next_measure = now + MEASURE_SECONDS
         self._metrics.open_calls.set(self._open_calls)
         self._metrics.update_month()
 
--- a/src/jujubeyard/gate/acquire.py
+++ b/src/jujubeyard/gate/acquire.py
@@ -152,10 +152,14 @@
 
 def acquire_shards(gate: state.GateState, now: float) -> None:
     """Starts to acquire shards, and activates those that are ready."""
+    if not gate.has_pending:
+        return
+    gate.has_pending = False
     waiting: dict[tuple[str, str, int], list[int]] = {}
     for row in gate.shards.values():
         if row.is_active:
             continue
+        gate.has_pending = True
         target = gate.targets[row.target]
         if not target.life.is_settled:
             continue
--- a/src/jujubeyard/gate/admit.py
+++ b/src/jujubeyard/gate/admit.py
@@ -163,6 +163,7 @@
         answer.refuse(gate, row, codes.ResultCode.OVERLOADED)
         return
     shard.parked.append(row)
+    gate.has_parked = True
 
 
 def _enqueue(
--- a/src/jujubeyard/gate/dispatch.py
+++ b/src/jujubeyard/gate/dispatch.py
@@ -214,6 +214,8 @@
 def expire_waiting(gate: state.GateState, now: float) -> None:
     """Answers waiting calls whose deadline has passed, or that can't go on."""
     for held in gate.queues.values():
+        if not len(held.waiting):
+            continue
         stuck = not _has_settled_target(gate, held)
         for entry in held.waiting.entries():
             if entry.deadline <= now:
@@ -224,8 +226,10 @@
                 held.waiting.remove(entry)
                 answer.refuse(gate, entry.item, codes.ResultCode.NOT_READY)
         pump(gate, held)
-    for shard in gate.shards.values():
-        _expire_parked(gate, shard, now)
+    if gate.has_parked:
+        gate.has_parked = False
+        for shard in gate.shards.values():
+            _expire_parked(gate, shard, now)
 
 
 def _has_settled_target(gate, held: tables.QueueRow) -> bool:
@@ -237,9 +241,10 @@
 
 
 def _expire_parked(gate, shard: tables.ShardRow, now: float) -> None:
-    expired = [call for call in shard.parked if call.deadline <= now]
-    if not expired:
+    if not shard.parked:
         return
+    gate.has_parked = True
+    expired = [call for call in shard.parked if call.deadline <= now]
     shard.parked = [call for call in shard.parked if call.deadline > now]
     for call in expired:
         answer.refuse(gate, call, codes.ResultCode.DEADLINE_UNREACHABLE)
--- a/src/jujubeyard/gate/gate.py
+++ b/src/jujubeyard/gate/gate.py
@@ -26,6 +26,7 @@
 TICK_SECONDS = 0.02
 MAX_CONTROLLERS = 32
 SHUTDOWN_POLL_SECONDS = 0.02
+MEASURE_SECONDS = 1.0
 
 
 class Gate:
@@ -48,6 +49,7 @@
             ticker.Tasks(owner.logger),
         )
         self._reporter = report.Reporter(self.state)
+        self._next_measure = 0.0
         self._server = server.LinkServer(owner.me, self.handle, owner.faults)
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -154,6 +156,9 @@
         await self._server.stop()
 
     def _measure(self, now: float) -> None:
+        if now < self._next_measure:
+            return
+        self._next_measure = now + MEASURE_SECONDS
         gate = self.state
         counts = dict.fromkeys(
             (
--- a/src/jujubeyard/gate/install.py
+++ b/src/jujubeyard/gate/install.py
@@ -24,6 +24,7 @@
     _install_queues(gate)
     _install_shards(gate, plan, config)
     gate.gates.want(_peer_addresses(gate, plan))
+    gate.has_pending = True
     gate.renew_now = True
 
 
@@ -184,6 +185,7 @@
         list(table.previous.get(shard, ())),
         parked=parked,
     )
+    gate.has_parked = True
     _requeue(gate, key)
 
 
--- a/src/jujubeyard/gate/report.py
+++ b/src/jujubeyard/gate/report.py
@@ -3,6 +3,7 @@
 import itertools
 
 from jujubeyard import clock
+from jujubeyard.controller import ranks
 from jujubeyard.events import kinds
 from jujubeyard.gate import lifecycle
 from jujubeyard.gate import state
@@ -15,9 +16,6 @@
 MAX_LOADS = 256
 """Shards whose load is reported; the busiest ones."""
 
-LOAD_LISTENERS = 3
-"""Controllers that are told loads: those that may have to plan."""
-
 _numbers = itertools.count(1)
 
 
@@ -31,7 +29,7 @@
         self._had_lease = False
 
     def renew(self, now: float) -> None:
-        """Sends a renewal to each controller if it is due."""
+        """Sends a renewal to witnesses and planners if it is due."""
         gate = self._gate
         if not gate.renew_now and now < self._next_renewal:
             return
@@ -48,7 +46,10 @@
             gate.follower.pool.links.values(), key=lambda p: p.peer_name
         )
         for position, peer in enumerate(links):
-            peer.send(loaded if position < LOAD_LISTENERS else plain)
+            if position < ranks.WATCHERS:
+                peer.send(loaded)
+            elif gate.lease.rests_on(peer.peer_name):
+                peer.send(plain)
 
     def promised(self, promise: messages.Promise) -> None:
         """Takes a controller's answer in."""
--- a/src/jujubeyard/gate/state.py
+++ b/src/jujubeyard/gate/state.py
@@ -42,6 +42,8 @@
         counts: Weight of the calls since the last report, by service and
             shard.
         rates: Weighted calls per second by service and shard.
+        has_pending: Whether a shard may not be active yet.
+        has_parked: Whether a call may be parked.
         leaving: Whether the gate is shutting down.
         refusing: Whether it takes no new calls.
         renew_now: Whether to renew at the next tick.
@@ -74,6 +76,8 @@
     left: dict[str, float] = dataclasses.field(default_factory=dict)
     counts: dict[ShardKey, float] = dataclasses.field(default_factory=dict)
     rates: dict[ShardKey, float] = dataclasses.field(default_factory=dict)
+    has_pending: bool = True
+    has_parked: bool = False
     leaving: bool = False
     refusing: bool = False
     renew_now: bool = True
--- a/src/jujubeyard/internal/admin.py
+++ b/src/jujubeyard/internal/admin.py
@@ -6,6 +6,7 @@
 import prometheus_client
 
 from jujubeyard.internal import node
+from jujubeyard.link import traffic
 from jujubeyard.manifest import address as addresses
 
 StatusReader = collections.abc.Callable[[], dict]
@@ -46,6 +47,10 @@
         document = {"process": self._node.timeline.process, "name": me.name}
         document["role"] = me.role
         document["zone"] = self._node.zone
+        document["link_bytes"] = {
+            "sent": traffic.total.sent,
+            "received": traffic.total.received,
+        }
         document.update(self._read_status())
         return web.json_response(document)
 
--- a/src/jujubeyard/internal/node.py
+++ b/src/jujubeyard/internal/node.py
@@ -1,5 +1,6 @@
 """What every process of the system has: identity, events, logs, admin port."""
 
+import functools
 import logging
 import pathlib
 import time
@@ -12,6 +13,7 @@
 from jujubeyard.events import timeline
 from jujubeyard.link import faults
 from jujubeyard.link import identity
+from jujubeyard.link import traffic
 from jujubeyard.output import logs
 
 _LOGGED = frozenset(
@@ -32,6 +34,16 @@
 )
 
 
+def _count_traffic(registry: prometheus_client.CollectorRegistry) -> None:
+    for name in ("sent", "received"):
+        gauge = prometheus_client.Gauge(
+            f"jujubeyard_link_{name}_bytes",
+            f"Bytes of link frames {name}.",
+            registry=registry,
+        )
+        gauge.set_function(functools.partial(getattr, traffic.total, name))
+
+
 class Node:
     """The common parts of a process.
 
@@ -60,6 +72,7 @@
         process = f"{role}:{cfg.vm}"
         self.timeline = timeline.Timeline(process, path)
         self.registry = prometheus_client.CollectorRegistry()
+        _count_traffic(self.registry)
         self.logger: logging.Logger = logs.make_logger(process, env.stderr)
 
     def record(self, kind: kinds.EventKind, **fields) -> None:
--- a/src/jujubeyard/lease/holder.py
+++ b/src/jujubeyard/lease/holder.py
@@ -27,6 +27,10 @@
         """Returns whether the holder may send calls to its targets."""
         return now < self._valid_until
 
+    def rests_on(self, witness: str) -> bool:
+        """Returns whether a witness is one of those in use."""
+        return witness in self._members
+
     def use_witnesses(self, witness_set: tables.WitnessSet) -> None:
         """Rests the lease on another set, from now on."""
         members = tuple(row.name for row in witness_set.members)
--- a/src/jujubeyard/link/link.py
+++ b/src/jujubeyard/link/link.py
@@ -16,6 +16,7 @@
 from jujubeyard.link import faults
 from jujubeyard.link import identity
 from jujubeyard.link import messages
+from jujubeyard.link import traffic
 
 MAX_OUTBOX_MESSAGES = 16384
 HANDSHAKE_SECONDS = 2.0
@@ -115,6 +116,7 @@
     async def _read_frames(self) -> None:
         try:
             async for frame in self._conn:
+                traffic.total.received += len(frame)
                 reading, batch = codec.decode_frame(frame)
                 clock.hybrid.observe(reading)
                 if self._faults.loses_from(self.peer.role, self.peer.vm):
@@ -148,6 +150,7 @@
             batch = self._outbox[: codec.MAX_MESSAGES_PER_FRAME]
             del self._outbox[: len(batch)]
             for frame in _encode(batch):
+                traffic.total.sent += len(frame)
                 await self._conn.send(frame)
 
     def _fail_waiting(self) -> None:
