Share fairly under overload; spread each plan a few times, not N squared

A member's virtual time advanced with every call it pushed, also with those that were refused, so that the greediest got least.

Change: virtual time advances with what is served; the queue keeps a list per member and refuses the latest call of the one with the longest backlog.

Also: every controller sent each new plan to all controllers, and gates were subscribed to all of them: 24 x 47 copies a plan in a cell of 24. Now the writer and those who read it from the store send it to controllers, and a gate or entry subscribes at three; what is missed comes after 0.5 s.

--- a/src/jujubeyard/admission/queue.py
+++ b/src/jujubeyard/admission/queue.py
@@ -1,5 +1,6 @@
 """Orders calls that wait for a slot: by urgency, then fairly by member."""
 
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -27,54 +28,107 @@
     removed: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class _Member:
+    """The waiting calls of one member at one level.
+
+    Attributes:
+        entries: In the order of arrival; some may have been removed.
+        weight: Sum of the weights of those that wait.
+        finish: Virtual time at which its latest served call ends.
+    """
+
+    entries: collections.deque[Entry] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    weight: float = 0.0
+    finish: float = 0.0
+
+
 class _Level:
-    """Entries of one urgency, in start-time fair order over members."""
+    """Entries of one urgency, served in start-time fair order over members.
+
+    A member's virtual time advances with what is served, not with what it
+    asks for, so that refused calls cost it nothing.
+    """
 
     def __init__(self):
-        self._heap: list[tuple[float, int, Entry]] = []
-        self._finish: dict[str, float] = {}
+        self.size = 0
+        self._members: dict[str, _Member] = {}
+        self._heads: list[tuple[float, int, str]] = []
         self._virtual = 0.0
         self._numbers = itertools.count()
-        self.size = 0
 
     def push(self, entry: Entry) -> None:
-        start = max(self._virtual, self._finish.get(entry.member, 0.0))
-        self._finish[entry.member] = start + entry.weight
-        heapq.heappush(self._heap, (start, next(self._numbers), entry))
+        member = self._members.setdefault(entry.member, _Member())
+        if not member.entries:
+            member.finish = max(member.finish, self._virtual)
+            self._push_head(entry.member, member)
+        member.entries.append(entry)
+        member.weight += entry.weight
         self.size += 1
 
     def pop(self) -> Entry | None:
-        while self._heap:
-            start, _, entry = heapq.heappop(self._heap)
-            if entry.removed:
+        while self._heads:
+            start, _, name = heapq.heappop(self._heads)
+            member = self._members[name]
+            _drop_removed(member.entries)
+            if not member.entries:
                 continue
+            entry = member.entries.popleft()
             self._virtual = max(self._virtual, start)
-            self.size -= 1
-            self._forget_idle()
+            member.finish = start + entry.weight
+            if member.entries:
+                self._push_head(name, member)
+            self.discard(entry)
             return entry
         return None
 
-    def last(self) -> Entry | None:
-        """Returns the entry that is served last."""
-        waiting = [row for row in self._heap if not row[2].removed]
-        return max(waiting)[2] if waiting else None
+    def discard(self, entry: Entry) -> None:
+        """Takes an entry out of the counts; its place is cleared later."""
+        entry.removed = True
+        self.size -= 1
+        self._members[entry.member].weight -= entry.weight
+        if self.size == 0:
+            self._members.clear()
+            self._heads.clear()
+            self._virtual = 0.0
+
+    def backlogs(self) -> dict[str, float]:
+        """Returns the weight of the waiting calls of each member."""
+        return {name: m.weight for name, m in self._members.items()}
+
+    def last_of(self, name: str) -> Entry:
+        """Returns the latest waiting entry of a member that has one."""
+        entries = self._members[name].entries
+        while entries[-1].removed:
+            entries.pop()
+        return entries[-1]
 
     def entries(self) -> list[Entry]:
-        return [entry for _, _, entry in self._heap if not entry.removed]
+        return [
+            entry
+            for member in self._members.values()
+            for entry in member.entries
+            if not entry.removed
+        ]
+
+    def _push_head(self, name: str, member: _Member) -> None:
+        row = (member.finish, next(self._numbers), name)
+        heapq.heappush(self._heads, row)
 
-    def _forget_idle(self) -> None:
-        if self.size == 0:
-            self._heap.clear()
-            self._finish.clear()
-            self._virtual = 0.0
+
+def _drop_removed(entries: collections.deque[Entry]) -> None:
+    while entries and entries[0].removed:
+        entries.popleft()
 
 
 class AdmissionQueue:
     """A bounded queue of calls.
 
-    Entries leave by urgency. Within one urgency, members share in proportion
-    to the weight of their calls (start-time fair queueing). A full queue
-    refuses the least urgent call.
+    Entries leave by urgency. Within one urgency, members get equal shares by
+    weight (start-time fair queueing). A full queue refuses the least urgent
+    call, and of these the latest one of the member with the longest backlog.
     """
 
     def __init__(self, capacity: int):
@@ -89,9 +143,8 @@
         """Adds an entry.
 
         Returns:
-            The entry that is refused instead: None if there is room, the
-            entry itself if all others are at least as urgent, or else the
-            entry that would have been served last.
+            The entry that is refused: None if there is room, the entry itself
+            or one that waited.
         """
         refused = None
         if self._size >= self.capacity:
@@ -109,7 +162,6 @@
         for urgency in sorted(self._levels):
             entry = self._levels[urgency].pop()
             if entry is not None:
-                entry.removed = True
                 self._size -= 1
                 return entry
         return None
@@ -118,8 +170,7 @@
         """Removes an entry that no longer has to be served."""
         if entry.removed:
             return
-        entry.removed = True
-        self._levels[entry.urgency].size -= 1
+        self._levels[entry.urgency].discard(entry)
         self._size -= 1
 
     def ahead_of(self, urgency: int) -> int:
@@ -138,17 +189,12 @@
         urgency = max(u for u, level in self._levels.items() if level.size)
         if urgency < entry.urgency:
             return entry
-        if urgency > entry.urgency:
-            return self._levels[urgency].last() or entry
-        return self._choose_by_member(entry)
-
-    def _choose_by_member(self, entry: Entry) -> Entry:
-        peers = self._levels[entry.urgency].entries()
-        backlog: dict[str, float] = {entry.member: entry.weight}
-        for peer in peers:
-            weight = backlog.get(peer.member, 0.0) + peer.weight
-            backlog[peer.member] = weight
-        heaviest = max(backlog, key=lambda member: (backlog[member], member))
-        if heaviest == entry.member:
+        level = self._levels[urgency]
+        backlogs = level.backlogs()
+        if urgency == entry.urgency:
+            own = backlogs.get(entry.member, 0.0)
+            backlogs[entry.member] = own + entry.weight
+        heaviest = max(backlogs, key=lambda member: (backlogs[member], member))
+        if urgency == entry.urgency and heaviest == entry.member:
             return entry
-        return [peer for peer in peers if peer.member == heaviest][-1]
+        return level.last_of(heaviest)
--- a/src/jujubeyard/controller/controller.py
+++ b/src/jujubeyard/controller/controller.py
@@ -36,6 +36,10 @@
 LEVEL_SECONDS = 2.0
 VM_LIST_SECONDS = 1.0
 FORGET_SECONDS = 30.0
+SPREAD_SECONDS = 0.5
+"""How long something new is on its way before those that lack it are sent it
+again."""
+
 WARM_UP_SECONDS = 1.5
 """How long a controller listens before it plans: after its start, a pause, or
 when it becomes one of those that gates report to."""
@@ -76,6 +80,7 @@
         self._last_tick = now
         self._told_members = messages.Members([])
         self._watching_since = now
+        self._installed_at = now
         self._planned_from: tuple | None = None
         self._metrics = metrics.ControllerMetrics(owner.registry)
 
@@ -149,6 +154,8 @@
     def _(self, beat: messages.Beat, peer: link.Link) -> None:
         now = clock.boottime()
         self.tables.peers[beat.witness] = tables.PeerRow(beat, now)
+        if now - self._installed_at < SPREAD_SECONDS:
+            return
         if beat.plan_version < self.known.plan.version:
             peer.send(self._plan_push())
         if beat.config_version < self.known.config_version:
@@ -175,7 +182,8 @@
                 self.known.config_version,
             )
         )
-        if renew.plan_version < self.known.plan.version:
+        spread = now - self._installed_at >= SPREAD_SECONDS
+        if spread and renew.plan_version < self.known.plan.version:
             peer.send(self._plan_push())
 
     @_receive.register
@@ -203,24 +211,24 @@
     @_receive.register
     def _(self, push: messages.PlanPush, peer: link.Link) -> None:
         del peer
-        self._install_plan(push.body)
+        self._install_plan(push.body, False)
 
     @_receive.register
     def _(self, push: messages.ConfigPush, peer: link.Link) -> None:
         del peer
-        self._install_config(push.body)
+        self._install_config(push.body, False)
 
     # Installing and spreading.
 
-    def _install_plan(self, body: bytes) -> None:
+    def _install_plan(self, body: bytes, from_store: bool) -> None:
         if not self.known.install_plan(body):
             return
         self._node.record(
             kinds.EventKind.PLAN_INSTALLED, version=self.known.plan.version
         )
-        self._spread(self._plan_push())
+        self._spread(self._plan_push(), from_store)
 
-    def _install_config(self, body: bytes) -> None:
+    def _install_config(self, body: bytes, from_store: bool) -> None:
         if not self.known.install_config(body):
             return
         self._node.record(
@@ -228,14 +236,23 @@
             version=self.known.config_version,
         )
         self._plan_now = True
-        self._spread(self._config_push())
+        self._spread(self._config_push(), from_store)
+
+    def _spread(self, message: messages.Message, from_store: bool) -> None:
+        """Sends something new on.
 
-    def _spread(self, message: messages.Message) -> None:
+        Who read it from the store, or wrote it, sends it to all controllers;
+        each controller sends it to its subscribers.
+        """
+        self._installed_at = clock.boottime()
         self._subscribers = {
             peer for peer in self._subscribers if not peer.closed.is_set()
         }
-        for peer in (*self._subscribers, *self._peers.links.values()):
+        for peer in self._subscribers:
             peer.send(message)
+        if from_store:
+            for peer in self._peers.links.values():
+                peer.send(message)
 
     def _plan_push(self) -> messages.PlanPush:
         return messages.PlanPush(self.known.plan.version, self.known.plan_body)
@@ -315,12 +332,12 @@
     async def _watch_config(self) -> None:
         key = records.config_key(self._cfg.cluster)
         async for value in self._store.watch(key):
-            self._install_config(value.body)
+            self._install_config(value.body, True)
 
     async def _watch_plan(self) -> None:
         key = records.plan_key(self._cfg.cluster)
         async for value in self._store.watch(key):
-            self._install_plan(value.body)
+            self._install_plan(value.body, True)
 
     def _plan(self, now: float) -> None:
         warm = now >= self._next_plan
@@ -384,7 +401,7 @@
         if written.is_err() or written.ok_value is None:
             self._metrics.plan_writes.labels("unknown").inc()
             return
-        self._install_plan(written.ok_value)
+        self._install_plan(written.ok_value, True)
         won = self.known.plan.recent_writes[-1:] == draft.recent_writes[-1:]
         self._metrics.plan_writes.labels("won" if won else "lost").inc()
         if won:
--- a/src/jujubeyard/entry/entry.py
+++ b/src/jujubeyard/entry/entry.py
@@ -27,7 +27,7 @@
 from jujubeyard.plan import follower
 
 TICK_SECONDS = 0.05
-MAX_CONTROLLERS = 3
+MAX_CONTROLLERS = 6
 RETRY_RATIO = 0.1
 RETRY_BURST = 10.0
 BACKOFF_SECONDS = 0.005
--- a/src/jujubeyard/plan/follower.py
+++ b/src/jujubeyard/plan/follower.py
@@ -13,6 +13,9 @@
 from jujubeyard.plan import tables
 from jujubeyard.store import records
 
+MAX_SUBSCRIPTIONS = 3
+"""Controllers that push to one follower."""
+
 
 class Follower:
     """The newest plan and configuration that a gate or an entry has.
@@ -60,7 +63,9 @@
         """Dials controllers and subscribes at those newly reached."""
         wanted = list(dict.fromkeys(self._seeds + self._known))
         self.pool.want(set(wanted[: self._max_controllers]))
-        for address, peer in self.pool.links.items():
+        reached = [a for a in wanted if self.pool.get(a) is not None]
+        for address in reached[:MAX_SUBSCRIPTIONS]:
+            peer = self.pool.get(address)
             if self._subscribed.get(address) is not peer:
                 self._subscribed[address] = peer
                 peer.send(
--- a/tests/admission/test_queue_machine.py
+++ b/tests/admission/test_queue_machine.py
@@ -95,3 +95,19 @@
     assert waiting.push(entry).member == "greedy"
     greedy = queue.Entry(None, 1, "greedy", 1.0, 0.0)
     assert waiting.push(greedy) is greedy
+
+
+def test_members_share_fairly_under_overload():
+    """Refused calls cost a member nothing: Jain's index at least 0.98."""
+    waiting = queue.AdmissionQueue(50)
+    served = dict.fromkeys("abc", 0)
+    arrivals = "abbcccc"
+    for turn in range(4000):
+        for number in range(2):
+            member = arrivals[(2 * turn + number) % len(arrivals)]
+            waiting.push(queue.Entry(None, 1, member, 1.0, 0.0))
+        if turn % 2:
+            served[waiting.pop().member] += 1
+    shares = list(served.values())
+    squares = sum(share * share for share in shares)
+    assert sum(shares) ** 2 / (len(shares) * squares) >= 0.98
