Hedge slow idempotent calls of services without keys; split the checker

Cause: a slow target held the tail of services whose calls any target may take. Never for keyed or non-repeatable calls. hedge = false turns it off.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m bench.policy
+	$(BIN)/python -m bench.stragglers
 
 bench-path: $(STAMP)
 	$(BIN)/python -m bench.path
--- /dev/null
+++ b/bench/stragglers.py
@@ -0,0 +1,132 @@
+"""Measures tail latency while some targets are slowed for moments.
+
+python -m bench.stragglers [--seeds 3]
+
+Ten targets of a service without keys, real processes; two of them are slowed
+tenfold for seconds. Compared: no slow targets; slow ones with hedged calls;
+slow ones without. In one run, medians over the seeds.
+"""
+
+import asyncio
+import json
+import pathlib
+import statistics
+import sys
+import tempfile
+
+import fire
+
+from jujubeyard import context
+from jujubeyard.load import generator
+from jujubeyard.output import tables
+from scripts import cluster
+
+SLOW_FACTOR = 10.0
+SLOW_TARGETS = 2
+SLOW_SECONDS = 2.0
+SECONDS = 6.0
+WARM_UP_SECONDS = 3.0
+RATE = 200.0
+STREAM = generator.Stream("pool", "look", True, RATE)
+MODES = {
+    "no slow targets": (True, False),
+    "slow targets, hedged": (True, True),
+    "slow targets, not hedged": (False, True),
+}
+"""By name: whether calls are hedged, whether targets are slowed."""
+
+
+def _spec(hedge: bool) -> cluster.ClusterSpec:
+    service = cluster.ServiceSpec(
+        "pool",
+        (cluster.KindSpec("look", True, 1, 1.0, 4000),),
+        10,
+        work_ms=10.0,
+        hedge=hedge,
+    )
+    return cluster.ClusterSpec(
+        "stragglers", ("a", "b", "c"), 3, (service,), record=False
+    )
+
+
+async def _measure(hedge: bool, slow: bool, seed: int) -> dict[str, float]:
+    with tempfile.TemporaryDirectory(prefix="stragglers-") as directory:
+        fleet = cluster.Cluster(_spec(hedge), pathlib.Path(directory))
+        with fleet:
+            await fleet.bring_up()
+            entries = [fleet.entry_address(vm) for vm in fleet.vms]
+            warm = generator.Generator(entries, seed)
+            await warm.run([STREAM], WARM_UP_SECONDS)
+            before = await _count_hedges(fleet)
+            load = generator.Generator(entries, seed)
+            await asyncio.gather(
+                load.run([STREAM], SECONDS), _slow_some(fleet, slow)
+            )
+            hedged = await _count_hedges(fleet) - before
+    report = load.reports["pool", "look"]
+    calls = sum(report.codes.values())
+    return {
+        "p50": report.latency.get_value_at_percentile(50) / 1000,
+        "p99": report.latency.get_value_at_percentile(99) / 1000,
+        "p99.9": report.latency.get_value_at_percentile(99.9) / 1000,
+        "hedged": 100 * hedged / calls,
+        "failed": float(calls - report.codes[100]),
+    }
+
+
+async def _slow_some(fleet: cluster.Cluster, slow: bool) -> None:
+    if not slow:
+        return
+    names = [name for name, _, _, _ in fleet.targets()]
+    for first in (0, 5):
+        chosen = names[first : first + SLOW_TARGETS]
+        await _set_factor(fleet, chosen, SLOW_FACTOR)
+        await asyncio.sleep(SLOW_SECONDS)
+        await _set_factor(fleet, chosen, 1.0)
+        await asyncio.sleep(SLOW_SECONDS / 4)
+
+
+async def _set_factor(fleet, names: list[str], factor: float) -> None:
+    for name in names:
+        address = fleet.target_address(name)
+        await fleet.put(address, "/-/control", {"slow_factor": factor})
+
+
+async def _count_hedges(fleet: cluster.Cluster) -> int:
+    statuses = [await fleet.status("gate", vm) for vm in fleet.vms]
+    return sum(status["hedged"] for status in statuses)
+
+
+def run(seeds: int = 3, out: str = "build/stragglers.json") -> None:
+    """Runs the benchmark.
+
+    Args:
+        seeds: Number of seeds.
+        out: Where the JSON goes.
+    """
+    env = context.Environment(sys.stdout)
+    found: dict[str, list[dict]] = {name: [] for name in MODES}
+    for seed in range(seeds):
+        for name, (hedge, slow) in MODES.items():
+            found[name].append(asyncio.run(_measure(hedge, slow, seed)))
+        print(f"seed {seed} measured", file=sys.stderr)
+    rows = []
+    for name, samples in found.items():
+        row = {"mode": name}
+        for figure in ("p50", "p99", "p99.9", "hedged", "failed"):
+            values = [sample[figure] for sample in samples]
+            unit = " ms" if figure.startswith("p") else " %"
+            unit = "" if figure == "failed" else unit
+            row[figure + unit] = (
+                f"{statistics.median(values):.1f} "
+                f"({min(values):.1f} to {max(values):.1f})"
+            )
+        rows.append(row)
+    tables.write_table(env, rows)
+    path = pathlib.Path(out)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(found, indent=1), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -57,6 +57,7 @@
         checks_grants: Whether targets check grants.
         queue: Calls that may wait for a target.
         connections: Connections that a target takes.
+        hedge: Whether slow idempotent calls go to a second target.
     """
 
     name: str
@@ -71,6 +72,7 @@
     checks_grants: bool = False
     queue: int = 200
     connections: int = 130
+    hedge: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -436,6 +438,7 @@
         f"warm_calls = {service.warm_calls}",
         f"connections = {service.connections}",
         f"checks_grants = {str(service.checks_grants).lower()}",
+        f"hedge = {str(service.hedge).lower()}",
         f"queue = {service.queue}",
     ]
     for kind in service.kinds:
--- a/scripts/history.py
+++ b/scripts/history.py
@@ -5,6 +5,7 @@
 import signal
 
 from jujubeyard.events import checker
+from jujubeyard.events import findings
 from jujubeyard.events import kinds
 from jujubeyard.events import timeline
 from jujubeyard.store import client
@@ -106,14 +107,14 @@
         """Returns the merged history of all processes."""
         return timeline.read_files(self.cluster.event_files())
 
-    def rules(self) -> checker.Rules:
+    def rules(self) -> findings.Rules:
         """Returns what the checker has to know."""
         rows = self.cluster.targets()
-        return checker.Rules(
+        return findings.Rules(
             {name: zone for name, zone, _, _ in rows},
             {name: service.slots for name, _, _, service in rows},
         )
 
-    def check(self) -> list[checker.Violation]:
+    def check(self) -> list[findings.Violation]:
         """Checks the whole history."""
         return checker.check(self.read_history(), self.rules())
--- a/scripts/measures.py
+++ b/scripts/measures.py
@@ -2,8 +2,9 @@
 
 import collections
 
-from jujubeyard.events import checker
+from jujubeyard.events import findings
 from jujubeyard.events import kinds
+from jujubeyard.events import version_checks
 
 RECOVERY_SECONDS = 2.0
 """How long a key may go without an owner in service after a loss."""
@@ -26,13 +27,13 @@
             if event["version"] >= change["version"]:
                 first.setdefault(event["process"], event["clock"])
         delays = [at - change["clock"] for at in first.values()]
-        limit = int(2 * checker.CONFIG_SECONDS * checker.MICROSECONDS)
+        limit = int(2 * version_checks.CONFIG_SECONDS * findings.MICROSECONDS)
         delays = [delay for delay in delays if delay < limit]
         slowest = max([slowest, *delays])
-    return slowest / checker.MICROSECONDS
+    return slowest / findings.MICROSECONDS
 
 
-def latest_drained_work(events: list[dict], rules: checker.Rules) -> float:
+def latest_drained_work(events: list[dict], rules: findings.Rules) -> float:
     """Returns how long after its drain a target last got new work."""
     since: dict[str, int] = {}
     latest = 0
@@ -49,7 +50,7 @@
             drained_at = since.get(event["target"])
             if drained_at is not None:
                 latest = max(latest, event["clock"] - drained_at)
-    return latest / checker.MICROSECONDS
+    return latest / findings.MICROSECONDS
 
 
 def longest_gap(events: list[dict], service: str) -> float:
@@ -85,7 +86,7 @@
             last[event["shard"]] = event
     if lost:
         return float("inf")
-    return gap / checker.MICROSECONDS
+    return gap / findings.MICROSECONDS
 
 
 def _owned_by(last: dict[int, dict], name: str) -> set[int]:
--- a/scripts/trial.py
+++ b/scripts/trial.py
@@ -6,7 +6,7 @@
 import random
 
 from jujubeyard import codes
-from jujubeyard.events import checker
+from jujubeyard.events import findings
 from jujubeyard.load import generator
 from scripts import cluster
 from scripts import faults
@@ -81,12 +81,12 @@
         rules: Facts about the cluster.
     """
 
-    violations: list[checker.Violation]
+    violations: list[findings.Violation]
     events: list[dict]
     codes: dict[int, int]
     final_codes: dict[int, int]
     wrong: int
-    rules: checker.Rules
+    rules: findings.Rules
 
 
 def run_trial(
--- a/src/jujubeyard/gate/dispatch.py
+++ b/src/jujubeyard/gate/dispatch.py
@@ -10,6 +10,7 @@
 from jujubeyard.events import kinds
 from jujubeyard.gate import answer
 from jujubeyard.gate import headers
+from jujubeyard.gate import hedge
 from jujubeyard.gate import state
 from jujubeyard.gate import tables
 from jujubeyard.gate import upstream
@@ -20,6 +21,9 @@
 DEADLINE_GRACE_SECONDS = 0.05
 """Wait beyond the deadline for the target's own refusal."""
 
+CANCEL_SECONDS = 0.05
+"""How long a target may take to stop a call whose connection was closed."""
+
 SERVER_ERROR = 500
 _call_numbers = itertools.count(1)
 
@@ -97,9 +101,14 @@
 def _start(gate, row: tables.CallRow, target: tables.TargetRow) -> None:
     shard = gate.shards.get((row.call.service, row.call.shard))
     row.epoch = shard.version if shard is not None else 0
+    hedge.plan_hedge(gate, row, target, _start_attempt)
+    _start_attempt(gate, row, target)
+
+
+def _start_attempt(gate, row: tables.CallRow, target) -> None:
     row.target = target.name
     target.in_flight.add(row)
-    row.task = gate.tasks.spawn(_run(gate, row, target))
+    row.attempts[target.name] = gate.tasks.spawn(_run(gate, row, target))
 
 
 async def _run(
@@ -121,23 +130,47 @@
     except _NOT_SENT as exc:
         _finish_not_sent(gate, row, target, exc)
     except TimeoutError:
-        _leave_ghost(row, target)
-        answer.refuse(gate, row, codes.ResultCode.DEADLINE_EXCEEDED)
+        _leave_ghost(row, target, row.deadline)
+        _fail(gate, row, target, codes.ResultCode.DEADLINE_EXCEEDED)
     except aiohttp.ClientError:
         target.probe_now = True
         target.ramp.restart()
-        answer.refuse(gate, row, codes.ResultCode.OUTCOME_UNKNOWN)
+        _fail(gate, row, target, codes.ResultCode.OUTCOME_UNKNOWN)
     except asyncio.CancelledError:
-        _leave_ghost(row, target)
-        answer.refuse(gate, row, codes.ResultCode.OUTCOME_UNKNOWN)
+        _leave_ghost(row, target, _end_of_cancelled(row))
+        _fail(gate, row, target, codes.ResultCode.OUTCOME_UNKNOWN)
         raise
     finally:
         target.in_flight.discard(row)
+        row.attempts.pop(target.name, None)
+        if row.answered:
+            hedge.cancel_attempts(row)
         held = gate.queue_of(target)
         if held is not None:
             pump(gate, held)
 
 
+def _end_of_cancelled(row: tables.CallRow) -> float:
+    """Returns when a cancelled call has ended at its target.
+
+    Where keys have owners, only its deadline is certain.
+    """
+    if row.service.keyed:
+        return row.deadline
+    return min(row.deadline, clock.boottime() + CANCEL_SECONDS)
+
+
+def _fail(gate, row: tables.CallRow, target, code: codes.ResultCode) -> None:
+    """Answers a call whose attempt failed, unless another one runs."""
+    row.attempts.pop(target.name, None)
+    if row.attempts:
+        row.may_have_run = True
+        return
+    if row.may_have_run and codes.TABLE[code].not_run:
+        code = codes.ResultCode.OUTCOME_UNKNOWN
+    answer.refuse(gate, row, code)
+
+
 def _record_send(gate, row: tables.CallRow, target) -> None:
     if not gate.node.timeline.records_calls:
         return
@@ -156,8 +189,10 @@
     )
 
 
-def _leave_ghost(row: tables.CallRow, target: tables.TargetRow) -> None:
-    target.ghosts.append(tables.Ghost(row.call.shard, row.deadline))
+def _leave_ghost(
+    row: tables.CallRow, target: tables.TargetRow, until: float
+) -> None:
+    target.ghosts.append(tables.Ghost(row.call.shard, until))
 
 
 def _finish_answered(gate, row, target, reply, started: float) -> None:
@@ -167,7 +202,7 @@
     if target.ramp.observe_incarnation(reply.incarnation):
         _record_cold(gate, target, "incarnation")
     if not reply.is_own:
-        answer.refuse(gate, row, codes.ResultCode.OUTCOME_UNKNOWN)
+        _fail(gate, row, target, codes.ResultCode.OUTCOME_UNKNOWN)
         return
     if reply.refused:
         _finish_refused(gate, row, target, reply.refused)
@@ -175,6 +210,7 @@
     gate.metrics.seconds.child(row.call.service).observe(now - started)
     if target.ramp.observe_success(now - started):
         _record_cold(gate, target, "slow")
+    row.target = target.name
     code = codes.ResultCode.OK
     if reply.status >= SERVER_ERROR:
         code = codes.ResultCode.TARGET_ERROR
@@ -192,7 +228,7 @@
         code = codes.ResultCode.OUTCOME_UNKNOWN
     if reason == headers.REFUSED_DEADLINE:
         code = codes.ResultCode.DEADLINE_PAST
-    answer.refuse(gate, row, code)
+    _fail(gate, row, target, code)
 
 
 def _record_cold(gate, target: tables.TargetRow, reason: str) -> None:
@@ -208,7 +244,7 @@
         target.refused += 1
         target.probe_now = True
         target.ramp.restart()
-    answer.refuse(gate, row, code)
+    _fail(gate, row, target, code)
 
 
 def expire_waiting(gate: state.GateState, now: float) -> None:
@@ -255,7 +291,7 @@
     held = gate.queues.get(row.queue_name)
     if row.entry is not None and held is not None:
         held.waiting.remove(row.entry)
-    if row.task is None:
+    if not row.attempts:
         answer.refuse(gate, row, codes.ResultCode.DEADLINE_PAST)
     elif row.kind.idempotent:
-        row.task.cancel()
+        hedge.cancel_attempts(row)
--- a/src/jujubeyard/gate/tables.py
+++ b/src/jujubeyard/gate/tables.py
@@ -27,9 +27,10 @@
         target: Name of the target that it was sent to.
         entry: Its place in a queue, if it waits in one.
         queue_name: The queue that it waits in.
-        task: The task that runs it, once it is sent.
+        attempts: The tasks that run it, by target; two while it is hedged.
         outcome: Resolved with the reply, for duplicates that join.
         answered: Whether the reply has been sent.
+        may_have_run: Whether an attempt failed whose outcome is not known.
     """
 
     call: messages.Call
@@ -42,9 +43,10 @@
     target: str = ""
     entry: queue.Entry | None = None
     queue_name: str = ""
-    task: asyncio.Task | None = None
+    attempts: dict[str, asyncio.Task] = dataclasses.field(default_factory=dict)
     outcome: asyncio.Future | None = None
     answered: bool = False
+    may_have_run: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/jujubeyard/manifest/models.py
+++ b/src/jujubeyard/manifest/models.py
@@ -105,6 +105,8 @@
             UUIDs of version 7 are recognized as duplicates after the loss of
             a gate.
         queue: Calls that may wait for a target.
+        hedge: Whether slow idempotent calls of a service without keys are
+            sent to a second target.
         find: Where requests carry what routing needs.
         kinds: The kinds of call.
         targets: The targets.
@@ -120,6 +122,7 @@
     checks_grants: bool = False
     request_ids: typing.Literal["uuid7", "opaque"] = "uuid7"
     queue: int = pydantic.Field(200, ge=1, le=100_000)
+    hedge: bool = True
     find: Find = Find()
     kinds: list[Kind] = pydantic.Field(alias="kind", min_length=1)
     targets: list[Target] = pydantic.Field(alias="target", min_length=1)
--- a/src/jujubeyard/manifest/tables.py
+++ b/src/jujubeyard/manifest/tables.py
@@ -53,6 +53,7 @@
     checks_grants: bool
     uuid7: bool
     queue: int
+    hedge: bool
     find: dict[str, str]
     kinds: dict[str, KindRow]
     targets: tuple[str, ...]
@@ -138,6 +139,7 @@
         service["checks_grants"],
         service["request_ids"] == "uuid7",
         service["queue"],
+        service["hedge"],
         service["find"],
         kinds,
         tuple(target["name"] for target in service["target"]),
--- a/src/jujubeyard/store/client.py
+++ b/src/jujubeyard/store/client.py
@@ -8,6 +8,7 @@
 import collections.abc
 import dataclasses
 import json
+import random
 
 import aiohttp
 import result
@@ -16,6 +17,7 @@
 
 CALL_SECONDS = 1.0
 WATCH_RETRY_SECONDS = 0.3
+MAX_WATCH_RETRY_SECONDS = 2.4
 WATCH_SILENCE_SECONDS = 5.0
 MAX_VALUE_BYTES = 1_000_000
 
@@ -104,8 +106,9 @@
         """Yields each new value of a key, for ever, across outages.
 
         The value is read again after each interruption, so that no newest
-        value is missed.
+        value is missed. Pauses between attempts grow while the store is down.
         """
+        pause = WATCH_RETRY_SECONDS
         while True:
             seen = 0
             current = await self.read(key)
@@ -113,9 +116,11 @@
                 seen = current.ok_value.revision
                 yield current.ok_value
             if current.is_ok():
+                pause = WATCH_RETRY_SECONDS
                 async for value in self._watch_once(key, seen + 1):
                     yield value
-            await asyncio.sleep(WATCH_RETRY_SECONDS)
+            await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+            pause = min(2 * pause, MAX_WATCH_RETRY_SECONDS)
 
     async def close(self) -> None:
         """Closes the connections."""
--- a/tests/events/test_checker.py
+++ b/tests/events/test_checker.py
@@ -2,10 +2,12 @@
 
 import pytest
 
+from jujubeyard.events import call_checks
 from jujubeyard.events import checker
+from jujubeyard.events import findings
 
 SECOND = 1_000_000
-RULES = checker.Rules(
+RULES = findings.Rules(
     {"desk-0": "a", "desk-1": "b"}, {"desk-0": 2, "desk-1": 2}
 )
 
@@ -195,7 +197,7 @@
 
 def test_check_finds_cut_call():
     history = [answered("r1", code=300)]
-    found = checker.check_uncut(history)
+    found = call_checks.check_uncut(history)
     assert [violation.promise for violation in found] == ["uncut"]
 
 
--- a/tests/faults/test_harmless.py
+++ b/tests/faults/test_harmless.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from jujubeyard.events import checker
+from jujubeyard.events import call_checks
 from scripts import trial
 
 SEED = 31
@@ -23,6 +23,6 @@
 def test_no_call_fails(name, tmp_path):
     outcome = trial.run_trial((name,), SEED, tmp_path)
     assert outcome.violations == [], f"seed {SEED}"
-    assert checker.check_uncut(outcome.events) == []
+    assert call_checks.check_uncut(outcome.events) == []
     assert set(outcome.codes) == {100}
     assert set(outcome.final_codes) == {100}
