Mend the split of the checker

Checked: all tests outside tests/faults, and tests/faults/test_path.py, pass; formatter and linter are clean.

--- a/src/jujubeyard/events/ownership_checks.py
+++ b/src/jujubeyard/events/ownership_checks.py
@@ -44,7 +44,7 @@
     return list(runs.values())
 
 
-def _servicefindings.select(event: dict) -> str:
+def _service_of(event: dict) -> str:
     """Returns the service of a target's event: its name without number."""
     return event["target"].rpartition("-")[0]
 
@@ -58,7 +58,7 @@
     by_shard = collections.defaultdict(list)
     for run in _collect_runs(history):
         if run.start["shard"] >= 0 and run.took_effect:
-            key = (_servicefindings.select(run.start), run.start["shard"])
+            key = (_service_of(run.start), run.start["shard"])
             by_shard[key].append(run)
     found = []
     for key, runs in by_shard.items():
@@ -153,5 +153,3 @@
                 )
             )
     return found
-
-
