Split large modules, share the start of the three roles, free test ports

Spreading, handlers, specs, addresses and settings files are modules of their own now; internal/daemon.py starts any role. Unused functions went.

Each test address has an IP number of its own now, with a port below that range; all tests outside tests/faults passed twice in a row beside the same load.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -32,6 +32,7 @@
 from jujubeyard.plan import tables as plan_tables
 from jujubeyard.store import records
 from scripts import cluster
+from scripts import specs
 
 VM_COUNTS = (3, 6, 12, 24)
 TARGET_COUNTS = (6, 24, 48)
@@ -62,16 +63,16 @@
     store_calls: dict[str, float]
 
 
-def _spec(vms: int, targets: int) -> cluster.ClusterSpec:
-    service = cluster.ServiceSpec(
+def _spec(vms: int, targets: int) -> specs.ClusterSpec:
+    service = specs.ServiceSpec(
         "desk",
-        (cluster.KindSpec("read", True),),
+        (specs.KindSpec("read", True),),
         targets,
         keyed=True,
         shards=256,
         checks_grants=True,
     )
-    return cluster.ClusterSpec(
+    return specs.ClusterSpec(
         "capacity", ("a", "b", "c"), vms, (service,), record=False
     )
 
--- a/bench/path.py
+++ b/bench/path.py
@@ -25,6 +25,7 @@
 from jujubeyard import context
 from jujubeyard.output import tables
 from scripts import cluster
+from scripts import specs
 
 CONCURRENCIES = (1, 16, 64)
 BODY = b"x" * 200
@@ -32,14 +33,14 @@
 HIGHEST_MICROSECONDS = 10_000_000
 SIGNIFICANT_DIGITS = 3
 WARM_UP_SECONDS = 1.0
-SPEC = cluster.ClusterSpec(
+SPEC = specs.ClusterSpec(
     "path",
     ("a",),
     1,
     (
-        cluster.ServiceSpec(
+        specs.ServiceSpec(
             "desk",
-            (cluster.KindSpec("read", True, 0, 1.0, 5000),),
+            (specs.KindSpec("read", True, 0, 1.0, 5000),),
             1,
             keyed=True,
             shards=64,
--- a/bench/stragglers.py
+++ b/bench/stragglers.py
@@ -20,6 +20,7 @@
 from jujubeyard.load import generator
 from jujubeyard.output import tables
 from scripts import cluster
+from scripts import specs
 
 SLOW_FACTOR = 10.0
 SLOW_TARGETS = 2
@@ -36,15 +37,15 @@
 """By name: whether calls are hedged, whether targets are slowed."""
 
 
-def _spec(hedge: bool) -> cluster.ClusterSpec:
-    service = cluster.ServiceSpec(
+def _spec(hedge: bool) -> specs.ClusterSpec:
+    service = specs.ServiceSpec(
         "pool",
-        (cluster.KindSpec("look", True, 1, 1.0, 4000),),
+        (specs.KindSpec("look", True, 1, 1.0, 4000),),
         10,
         work_ms=10.0,
         hedge=hedge,
     )
-    return cluster.ClusterSpec(
+    return specs.ClusterSpec(
         "stragglers", ("a", "b", "c"), 3, (service,), record=False
     )
 
--- a/scripts/collective.py
+++ b/scripts/collective.py
@@ -1,13 +1,13 @@
 """The Collective and Ledgerhevea, at the sizes of their fleets."""
 
 from jujubeyard.load import generator
-from scripts import cluster
+from scripts import specs
 
-Kind = cluster.KindSpec
-Service = cluster.ServiceSpec
+Kind = specs.KindSpec
+Service = specs.ServiceSpec
 Stream = generator.Stream
 
-COLLECTIVE = cluster.ClusterSpec(
+COLLECTIVE = specs.ClusterSpec(
     "collective",
     ("aso", "kuju", "sobo"),
     6,
@@ -36,7 +36,7 @@
     ),
 )
 
-LEDGERHEVEA = cluster.ClusterSpec(
+LEDGERHEVEA = specs.ClusterSpec(
     "ledgerhevea",
     ("osorno", "valdivia", "temuco", "angol"),
     8,
--- a/scripts/history.py
+++ b/scripts/history.py
@@ -10,7 +10,9 @@
 from jujubeyard.events import timeline
 from jujubeyard.store import client
 from jujubeyard.store import config_writer
+from scripts import addresses
 from scripts import cluster
+from scripts import specs
 
 HEALTHY = 200
 
@@ -24,7 +26,7 @@
         entries: Addresses of the entries that the balancer sends calls to.
     """
 
-    def __init__(self, spec: cluster.ClusterSpec, directory: pathlib.Path):
+    def __init__(self, spec: specs.ClusterSpec, directory: pathlib.Path):
         self.cluster = cluster.Cluster(spec, directory)
         self.entries = [
             self.cluster.entry_address(vm) for vm in self.cluster.vms
@@ -41,7 +43,7 @@
     def kill_vm(self, vm: str) -> None:
         """Kills the processes of a VM."""
         self.cluster.kill_vm(vm)
-        for role in cluster.ADMIN_PORTS:
+        for role in addresses.ADMIN_PORTS:
             self.history.add(
                 kinds.EventKind.PROCESS_KILLED, name=f"{role}:{vm}"
             )
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -63,9 +63,9 @@
     ),
     Mutant(
         "witnesses promise nothing without the store",
-        "controller/controller.py",
-        "                granted,\n",
-        "                granted and self._store_ok,\n",
+        "controller/handlers.py",
+        "            granted,\n",
+        "            granted and controller._store_ok,\n",
         "tests/faults/test_harmless.py::test_no_call_fails[store_down]",
     ),
     Mutant(
--- a/scripts/trial.py
+++ b/scripts/trial.py
@@ -8,19 +8,19 @@
 from jujubeyard import codes
 from jujubeyard.events import findings
 from jujubeyard.load import generator
-from scripts import cluster
 from scripts import faults
 from scripts import history
+from scripts import specs
 
-Kind = cluster.KindSpec
+Kind = specs.KindSpec
 Stream = generator.Stream
 
-SPEC = cluster.ClusterSpec(
+SPEC = specs.ClusterSpec(
     "trial",
     ("a", "b", "c"),
     5,
     (
-        cluster.ServiceSpec(
+        specs.ServiceSpec(
             "desk",
             (
                 Kind("read", True, 0, deadline_ms=800),
@@ -34,7 +34,7 @@
             work_ms=40.0,
             checks_grants=True,
         ),
-        cluster.ServiceSpec(
+        specs.ServiceSpec(
             "plot",
             (
                 Kind("read", True, 0, deadline_ms=800),
@@ -47,7 +47,7 @@
             warm_calls=8,
             work_ms=40.0,
         ),
-        cluster.ServiceSpec(
+        specs.ServiceSpec(
             "pool", (Kind("order", False, 1), Kind("look", True)), 3
         ),
     ),
--- a/src/jujubeyard/controller/controller.py
+++ b/src/jujubeyard/controller/controller.py
@@ -5,13 +5,14 @@
 """
 
 import asyncio
-import functools
 
 from jujubeyard import clock
 from jujubeyard import settings
 from jujubeyard.controller import config_store
+from jujubeyard.controller import handlers
 from jujubeyard.controller import metrics
 from jujubeyard.controller import ranks
+from jujubeyard.controller import spread
 from jujubeyard.controller import tables
 from jujubeyard.controller import vm_list
 from jujubeyard.events import kinds
@@ -36,10 +37,6 @@
 LEVEL_SECONDS = 2.0
 VM_LIST_SECONDS = 1.0
 FORGET_SECONDS = 30.0
-SPREAD_SECONDS = 0.5
-"""How long something new is on its way before those that lack it are sent it
-again."""
-
 WARM_UP_SECONDS = 1.5
 """How long a controller listens before it plans: after its start, a pause, or
 when it becomes one of those that gates report to."""
@@ -57,17 +54,18 @@
         self, cfg: settings.ControllerSettings, owner: node.Node
     ) -> None:
         now = clock.boottime()
-        self.known = config_store.Known()
         self.tables = tables.Tables()
         self.witness = witness.Witness(now)
         self._cfg = cfg
+        self.name = owner.me.name
         self._node = owner
         self._store = client.StoreClient(cfg.store)
         self._writer = config_store.PlanWriter(self._store, cfg.cluster)
         self._vm_list = vm_list.VmListClient(cfg.vm_list)
         self._server = server.LinkServer(owner.me, self.handle, owner.faults)
         self._peers = pool.LinkPool(owner.me, self.handle, owner.faults)
-        self._subscribers: set[link.Link] = set()
+        self.spreader = spread.Spreader(owner, self._peers)
+        self.known = self.spreader.known
         self._tasks = ticker.Tasks(owner.logger)
         self._watches: list[asyncio.Task] = []
         self._writing = False
@@ -78,9 +76,7 @@
         self._next_level = now + LEVEL_SECONDS
         self._next_vm_list = 0.0
         self._last_tick = now
-        self._told_members = messages.Members([])
         self._watching_since = now
-        self._installed_at = now
         self._planned_from: tuple | None = None
         self._metrics = metrics.ControllerMetrics(owner.registry)
 
@@ -142,28 +138,12 @@
 
     # Messages.
 
-    @functools.singledispatchmethod
-    def _receive(self, message, peer: link.Link) -> None:
-        del message, peer
-
     def handle(self, peer: link.Link, message: messages.Message) -> None:
         """Handles a message of a peer."""
-        self._receive(message, peer)
-
-    @_receive.register
-    def _(self, beat: messages.Beat, peer: link.Link) -> None:
-        now = clock.boottime()
-        self.tables.peers[beat.witness] = tables.PeerRow(beat, now)
-        if now - self._installed_at < SPREAD_SECONDS:
-            return
-        if beat.plan_version < self.known.plan.version:
-            peer.send(self._plan_push())
-        if beat.config_version < self.known.config_version:
-            peer.send(self._config_push())
+        handlers.receive(message, self, peer)
 
-    @_receive.register
-    def _(self, renew: messages.Renew, peer: link.Link) -> None:
-        now = clock.boottime()
+    def hear_gate(self, renew: messages.Renew) -> None:
+        """Notes a gate's renewal; a loss is planned for at once."""
         row = self.tables.gates.get(renew.holder)
         loads = renew.loads or (row.loads if row else [])
         if row and (row.renew.lost, row.renew.leaving) != (
@@ -171,96 +151,14 @@
             renew.leaving,
         ):
             self._plan_now = True
-        self.tables.gates[renew.holder] = tables.GateRow(renew, now, loads)
-        granted = self.witness.promise(renew.holder, renew.plan_version, now)
-        peer.send(
-            messages.Promise(
-                renew.number,
-                self._node.me.name,
-                granted,
-                self.known.plan.version,
-                self.known.config_version,
-            )
+        self.tables.gates[renew.holder] = tables.GateRow(
+            renew, clock.boottime(), loads
         )
-        spread = now - self._installed_at >= SPREAD_SECONDS
-        if spread and renew.plan_version < self.known.plan.version:
-            peer.send(self._plan_push())
 
-    @_receive.register
-    def _(self, lapse: messages.Lapse, peer: link.Link) -> None:
-        now = clock.boottime()
-        remaining = self.witness.lapse(lapse.holder, lapse.below_version, now)
-        peer.send(
-            messages.LapseReply(
-                lapse.query,
-                self._node.me.name,
-                remaining * MILLISECONDS,
-                self.witness.age(now) * MILLISECONDS,
-            )
-        )
-
-    @_receive.register
-    def _(self, request: messages.Subscribe, peer: link.Link) -> None:
-        self._subscribers.add(peer)
-        peer.send(self._members(clock.boottime()))
-        if request.config_version < self.known.config_version:
-            peer.send(self._config_push())
-        if request.plan_version < self.known.plan.version:
-            peer.send(self._plan_push())
-
-    @_receive.register
-    def _(self, push: messages.PlanPush, peer: link.Link) -> None:
-        del peer
-        self._install_plan(push.body, False)
-
-    @_receive.register
-    def _(self, push: messages.ConfigPush, peer: link.Link) -> None:
-        del peer
-        self._install_config(push.body, False)
-
-    # Installing and spreading.
-
-    def _install_plan(self, body: bytes, from_store: bool) -> None:
-        if not self.known.install_plan(body):
-            return
-        self._node.record(
-            kinds.EventKind.PLAN_INSTALLED, version=self.known.plan.version
-        )
-        self._spread(self._plan_push(), from_store)
-
-    def _install_config(self, body: bytes, from_store: bool) -> None:
-        if not self.known.install_config(body):
-            return
-        self._node.record(
-            kinds.EventKind.CONFIG_INSTALLED,
-            version=self.known.config_version,
-        )
-        self._plan_now = True
-        self._spread(self._config_push(), from_store)
-
-    def _spread(self, message: messages.Message, from_store: bool) -> None:
-        """Sends something new on.
-
-        Who read it from the store, or wrote it, sends it to all controllers;
-        each controller sends it to its subscribers.
-        """
-        self._installed_at = clock.boottime()
-        self._subscribers = {
-            peer for peer in self._subscribers if not peer.closed.is_set()
-        }
-        for peer in self._subscribers:
-            peer.send(message)
-        if from_store:
-            for peer in self._peers.links.values():
-                peer.send(message)
-
-    def _plan_push(self) -> messages.PlanPush:
-        return messages.PlanPush(self.known.plan.version, self.known.plan_body)
-
-    def _config_push(self) -> messages.ConfigPush:
-        return messages.ConfigPush(
-            self.known.config_version, self.known.config_body
-        )
+    def install_config(self, body: bytes, from_store: bool) -> None:
+        """Installs a configuration and plans for it at once."""
+        if self.spreader.install_config(body, from_store):
+            self._plan_now = True
 
     # Systems.
 
@@ -290,11 +188,7 @@
         beat = self._my_beat()
         for peer in self._peers.links.values():
             peer.send(beat)
-        members = self._members(now)
-        if members != self._told_members:
-            self._told_members = members
-            for peer in self._subscribers:
-                peer.send(members)
+        self.spreader.tell_members(self._members(now))
 
     def _my_beat(self) -> messages.Beat:
         return messages.Beat(
@@ -332,12 +226,12 @@
     async def _watch_config(self) -> None:
         key = records.config_key(self._cfg.cluster)
         async for value in self._store.watch(key):
-            self._install_config(value.body, True)
+            self.install_config(value.body, True)
 
     async def _watch_plan(self) -> None:
         key = records.plan_key(self._cfg.cluster)
         async for value in self._store.watch(key):
-            self._install_plan(value.body, True)
+            self.spreader.install_plan(value.body, True)
 
     def _plan(self, now: float) -> None:
         warm = now >= self._next_plan
@@ -401,7 +295,7 @@
         if written.is_err() or written.ok_value is None:
             self._metrics.plan_writes.labels("unknown").inc()
             return
-        self._install_plan(written.ok_value, True)
+        self.spreader.install_plan(written.ok_value, True)
         won = self.known.plan.recent_writes[-1:] == draft.recent_writes[-1:]
         self._metrics.plan_writes.labels("won" if won else "lost").inc()
         if won:
--- a/src/jujubeyard/controller/core.py
+++ b/src/jujubeyard/controller/core.py
@@ -6,9 +6,7 @@
 from jujubeyard import settings
 from jujubeyard import status
 from jujubeyard.controller import controller
-from jujubeyard.events import kinds
-from jujubeyard.internal import admin
-from jujubeyard.internal import node
+from jujubeyard.internal import daemon
 from jujubeyard.internal import process
 
 PROGRAM = "jujubeyard-controller"
@@ -20,14 +18,8 @@
     stop: asyncio.Event,
 ) -> None:
     """Serves until the event is set."""
-    owner = node.Node("controller", cfg, env)
-    served = controller.Controller(cfg, owner)
-    port = admin.AdminServer(owner, served.read_status, cfg.allow_faults)
-    await port.start(cfg.admin)
-    owner.record(kinds.EventKind.START, incarnation=owner.me.incarnation)
-    await served.run(stop)
-    owner.record(kinds.EventKind.STOP)
-    await port.stop()
+    make = controller.Controller
+    await daemon.serve_role("controller", make, cfg, env, stop)
 
 
 def main(
--- a/src/jujubeyard/entry/core.py
+++ b/src/jujubeyard/entry/core.py
@@ -6,26 +6,20 @@
 from jujubeyard import settings
 from jujubeyard import status
 from jujubeyard.entry import entry
-from jujubeyard.events import kinds
-from jujubeyard.internal import admin
-from jujubeyard.internal import node
+from jujubeyard.internal import daemon
 from jujubeyard.internal import process
 
 PROGRAM = "jujubeyard-entry"
 
 
 async def serve(
-    cfg: settings.EntrySettings, env: context.Environment, stop: asyncio.Event
+    cfg: settings.EntrySettings,
+    env: context.Environment,
+    stop: asyncio.Event,
 ) -> None:
     """Serves until the event is set."""
-    owner = node.Node("entry", cfg, env)
-    served = entry.Entry(cfg, owner)
-    port = admin.AdminServer(owner, served.read_status, cfg.allow_faults)
-    await port.start(cfg.admin)
-    owner.record(kinds.EventKind.START, incarnation=owner.me.incarnation)
-    await served.run(stop)
-    owner.record(kinds.EventKind.STOP)
-    await port.stop()
+    make = entry.Entry
+    await daemon.serve_role("entry", make, cfg, env, stop)
 
 
 def main(
--- a/src/jujubeyard/events/kinds.py
+++ b/src/jujubeyard/events/kinds.py
@@ -17,7 +17,6 @@
     TARGET_LOST = "target-lost"
     TARGET_FOUND = "target-found"
     TARGET_COLD = "target-cold"
-    TARGET_WARM = "target-warm"
     SHARD_ACTIVE = "shard-active"
     SHARD_RELEASED = "shard-released"
     LEASE_GAINED = "lease-gained"
--- a/src/jujubeyard/link/pool.py
+++ b/src/jujubeyard/link/pool.py
@@ -36,7 +36,6 @@
         self._handler = handler
         self._faults = link_faults
         self._dialers: dict[str, asyncio.Task] = {}
-        self._opened = asyncio.Event()
 
     def want(self, addresses: set[str]) -> None:
         """Sets the peers to keep links to."""
@@ -53,13 +52,6 @@
             return None
         return peer
 
-    async def wait_for_change(self, timeout: float) -> None:
-        """Waits until a link opens, at most `timeout` seconds."""
-        try:
-            await asyncio.wait_for(self._opened.wait(), timeout)
-        except TimeoutError:
-            return
-
     async def stop(self) -> None:
         """Closes all links."""
         tasks = list(self._dialers.values())
@@ -79,8 +71,6 @@
             address, self._me, self._handler, self._faults
         )
         self.links[address] = peer
-        self._opened.set()
-        self._opened = asyncio.Event()
         try:
             await peer.run()
         finally:
--- a/src/jujubeyard/standins/store.py
+++ b/src/jujubeyard/standins/store.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import base64
 import dataclasses
 import json
 import sys
@@ -156,11 +155,6 @@
         return web.json_response({"header": header, **document})
 
 
-def encode_key(key: str) -> str:
-    """Returns a key as it stands in requests."""
-    return base64.b64encode(key.encode()).decode()
-
-
 async def serve(
     cfg: StoreSettings, env: context.Environment, stop: asyncio.Event
 ) -> None:
--- a/tests/faults/test_path.py
+++ b/tests/faults/test_path.py
@@ -3,24 +3,24 @@
 import asyncio
 
 from jujubeyard.load import generator
-from scripts import cluster
 from scripts import history
+from scripts import specs
 
-Kind = cluster.KindSpec
+Kind = specs.KindSpec
 Stream = generator.Stream
-SPEC = cluster.ClusterSpec(
+SPEC = specs.ClusterSpec(
     "path",
     ("a", "b", "c"),
     3,
     (
-        cluster.ServiceSpec(
+        specs.ServiceSpec(
             "desk",
             (Kind("read", True, 0), Kind("write", False, 1)),
             4,
             keyed=True,
             checks_grants=True,
         ),
-        cluster.ServiceSpec(
+        specs.ServiceSpec(
             "pool", (Kind("order", False, 1), Kind("look", True)), 3
         ),
     ),
--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -16,12 +16,21 @@
 from jujubeyard.link import server
 
 SECRET = "test-secret-0123456789"
-_ports = itertools.count(20000 + os.getpid() % 20000)
+PORT = 7000
+FIRST_OCTET = 150
+LAST_OCTETS = 250
+_numbers = itertools.count(1)
 
 
 def make_address() -> str:
-    """Returns a loopback address that no other test uses."""
-    return f"127.0.0.1:{next(_ports)}"
+    """Returns a loopback address that no other test uses.
+
+    Each has an IP number of its own, below the ports of outgoing connections.
+    """
+    number = next(_numbers)
+    process = os.getpid() % 100
+    high, low = divmod(number, LAST_OCTETS)
+    return f"127.{FIRST_OCTET + process}.{high}.{low + 1}:{PORT}"
 
 
 def make_identity(role: str, vm: str = "vm-0") -> identity.Identity:
