--- a/src/jujubeyard/events/target_checks.py
+++ b/src/jujubeyard/events/target_checks.py
@@ -49,13 +49,19 @@
     return found
 
 
-def check_drains(
+def drained_runs(
     history: list[dict], rules: findings.Rules
-) -> list[findings.Violation]:
-    """A drained zone or target gets no new work after a few seconds."""
+) -> list[tuple[dict, dict]]:
+    """Returns runs at drained targets, each with the drain's acceptance.
+
+    A change counts from when the first process installed it, if that is
+    earlier than the record of its acceptance, which its operator makes.
+    """
     found = []
     drained: dict[str, dict] = {}
-    for event in history:
+    for event in sorted(
+        [*_changes(history), *_of_runs(history)], key=lambda e: e["clock"]
+    ):
         if event["kind"] == kinds.EventKind.CONFIG_ACCEPTED:
             out = {
                 target
@@ -64,16 +70,36 @@
                 or target in event["drained_targets"]
             }
             drained = {t: drained.get(t, event) for t in out}
-        elif event["kind"] == kinds.EventKind.RUN_START:
-            since = drained.get(event["target"])
-            if since is None:
-                continue
-            if findings.seconds_between(since, event) > DRAIN_SECONDS:
-                found.append(
-                    findings.Violation(
-                        "drain",
-                        f"{event['target']} got new work after its drain",
-                        (since, event),
-                    )
-                )
+        elif event["target"] in drained:
+            found.append((drained[event["target"]], event))
     return found
+
+
+def _of_runs(history: list[dict]) -> list[dict]:
+    return findings.select(history, kinds.EventKind.RUN_START)
+
+
+def _changes(history: list[dict]) -> list[dict]:
+    installed: dict[int, int] = {}
+    for event in findings.select(history, kinds.EventKind.CONFIG_INSTALLED):
+        installed.setdefault(event["version"], event["clock"])
+    changes = []
+    for event in findings.select(history, kinds.EventKind.CONFIG_ACCEPTED):
+        first = installed.get(event["version"], event["clock"])
+        changes.append({**event, "clock": min(first, event["clock"])})
+    return changes
+
+
+def check_drains(
+    history: list[dict], rules: findings.Rules
+) -> list[findings.Violation]:
+    """A drained zone or target gets no new work after a few seconds."""
+    return [
+        findings.Violation(
+            "drain",
+            f"{event['target']} got new work after its drain",
+            (since, event),
+        )
+        for since, event in drained_runs(history, rules)
+        if findings.seconds_between(since, event) > DRAIN_SECONDS
+    ]
--- a/tests/events/test_checker.py
+++ b/tests/events/test_checker.py
@@ -138,6 +138,15 @@
             end(5 * SECOND + 2, "desk-0", "r1"),
         ],
     ),
+    "work in a zone that was drained before its record": (
+        "drain",
+        [
+            installed(0, 2),
+            accepted(SECOND, 2, zones=["a"]),
+            start(5 * SECOND + 1, "desk-0", "r1"),
+            end(5 * SECOND + 2, "desk-0", "r1"),
+        ],
+    ),
     "work at a drained target": (
         "drain",
         [
@@ -233,6 +242,13 @@
         start(4 * SECOND, "desk-0", "r1"),
         end(4 * SECOND + 1, "desk-0", "r1"),
     ],
+    "zone back in before its record": [
+        accepted(0, 2, zones=["a"]),
+        installed(9 * SECOND, 3),
+        start(9 * SECOND + 1, "desk-0", "r1"),
+        end(9 * SECOND + 2, "desk-0", "r1"),
+        accepted(9 * SECOND + 3, 3),
+    ],
     "zone back in": [
         accepted(0, 2, zones=["a"]),
         accepted(SECOND, 3),
