Keep a target warm when it changes its gate

A target whose gate is handed over by a live one started cold again at the new gate, at 2 of 6 slots, while a third of the targets was out.

Change: a release carries the limit that the target was found to bear and its incarnation. The new gate resumes there, and means calls for that incarnation, so that a target restarted in between refuses them as not run and starts cold. After a takeover nothing is known, and the target starts cold.

The whole of tests/faults was not run again after this commit.

--- a/src/jujubeyard/admission/ramp.py
+++ b/src/jujubeyard/admission/ramp.py
@@ -72,6 +72,19 @@
         self._slow = 0
         self._usual = None
 
+    def resume(self, limit: int, incarnation: str) -> None:
+        """Takes over what another gate has found a target to bear.
+
+        Args:
+            limit: Its limit; 0 if nothing is known.
+            incarnation: The incarnation that bore it; another one is cold.
+        """
+        self.restart()
+        if incarnation and limit > self._cold_slots:
+            self._incarnation = incarnation
+            self.limit = min(limit, self._slots)
+            self._answered = self._warm_calls
+
     def observe_incarnation(self, incarnation: str) -> bool:
         """Notes the incarnation that a target reports.
 
--- a/src/jujubeyard/gate/acquire.py
+++ b/src/jujubeyard/gate/acquire.py
@@ -44,7 +44,8 @@
         return
     row.answered_at = clock.boottime()
     row.probe_now = True
-    row.ramp.restart()
+    row.ramp.resume(row.known_limit, row.known_incarnation)
+    row.upstream.expect(row.known_incarnation)
     row.life.acquire()
     gate.renew_now = True
     gate.node.record(
@@ -107,6 +108,8 @@
     gate.ids.take_in(reply.ids, reply.horizons, clock.wall())
     busy_until = clock.boottime() + reply.busy / MILLISECONDS
     row.busy_until = max(row.busy_until, busy_until)
+    row.known_limit = reply.limit
+    row.known_incarnation = reply.incarnation
 
 
 def _take_over(gate, row: tables.TargetRow, former: str) -> None:
@@ -115,6 +118,7 @@
     if not row.service.checks_grants:
         longest = row.service.longest_deadline
     row.busy_until = max(row.busy_until, clock.boottime() + longest)
+    row.known_limit = 0
     horizon = clock.wall() + dedupe.SKEW_SECONDS
     table = gate.follower.plan.shards.get(row.service.name)
     for shard, owner in enumerate(table.owners if table else ()):
--- a/src/jujubeyard/gate/install.py
+++ b/src/jujubeyard/gate/install.py
@@ -69,7 +69,11 @@
     for name in list(gate.targets):
         row = gate.targets[name]
         if row.life.state == lifecycle.RELEASING and not row.in_flight:
-            gate.left[name] = row.end_of_unknown(now)
+            gate.left[name] = tables.LeftRow(
+                row.end_of_unknown(now),
+                row.ramp.limit,
+                row.upstream.incarnation,
+            )
             row.life.close()
             gate.tasks.spawn(row.upstream.close())
             del gate.targets[name]
@@ -89,6 +93,7 @@
     if row.version != holding.version:
         row.version = holding.version
         row.previous = list(holding.previous)
+        row.known_limit = 0
         row.life.renew()
     if row.service is not service:
         row.service = service
--- a/src/jujubeyard/gate/release.py
+++ b/src/jujubeyard/gate/release.py
@@ -25,14 +25,21 @@
         return _not_released(request)
     now = clock.boottime()
     ids, horizons = _export_target(gate, request.target)
-    busy = max(0.0, gate.left.get(request.target, now) - now)
+    left = gate.left.get(request.target, tables.LeftRow(now, 0, ""))
+    busy = max(0.0, left.busy_until - now)
     return messages.ReleaseTargetReply(
-        request.query, True, ids, horizons, busy * MILLISECONDS
+        request.query,
+        True,
+        ids,
+        horizons,
+        busy * MILLISECONDS,
+        left.limit,
+        left.incarnation,
     )
 
 
 def _not_released(request) -> messages.ReleaseTargetReply:
-    return messages.ReleaseTargetReply(request.query, False, [], [], 0.0)
+    return messages.ReleaseTargetReply(request.query, False, [], [], 0.0, 0, "")
 
 
 def _export_target(gate: state.GateState, target: str) -> tuple[list, list]:
--- a/src/jujubeyard/gate/state.py
+++ b/src/jujubeyard/gate/state.py
@@ -38,7 +38,7 @@
         queues: By name of the target or the pooled service.
         calls: Calls not answered yet, by link and query number.
         asking: Former owners that are being asked for shards.
-        left: When calls of unknown end at released targets have ended.
+        left: What is known of targets that the gate has let go.
         counts: Weight of the calls since the last report, by service and
             shard.
         rates: Weighted calls per second by service and shard.
@@ -73,7 +73,7 @@
         default_factory=dict
     )
     asking: set[tuple[str, str, int]] = dataclasses.field(default_factory=set)
-    left: dict[str, float] = dataclasses.field(default_factory=dict)
+    left: dict[str, tables.LeftRow] = dataclasses.field(default_factory=dict)
     counts: dict[ShardKey, float] = dataclasses.field(default_factory=dict)
     rates: dict[ShardKey, float] = dataclasses.field(default_factory=dict)
     has_pending: bool = True
--- a/src/jujubeyard/gate/tables.py
+++ b/src/jujubeyard/gate/tables.py
@@ -78,6 +78,21 @@
     ends: dict[int, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeftRow:
+    """A target that the gate has let go.
+
+    Attributes:
+        busy_until: When calls of unknown end have certainly ended.
+        limit: Calls that it was found to bear.
+        incarnation: The target's incarnation.
+    """
+
+    busy_until: float
+    limit: int
+    incarnation: str
+
+
 @dataclasses.dataclass(eq=False)
 class TargetRow:
     """A target that the gate holds, acquires or releases.
@@ -102,6 +117,8 @@
         acquiring: The task that acquires it.
         probing: The task that probes it.
         probe_now: Whether to probe it at the next tick.
+        known_limit: Calls that its former holder found it to bear, or 0.
+        known_incarnation: The target's incarnation that bore them.
     """
 
     name: str
@@ -123,6 +140,8 @@
     acquiring: asyncio.Task | None = None
     probing: asyncio.Task | None = None
     probe_now: bool = True
+    known_limit: int = 0
+    known_incarnation: str = ""
 
     def used_slots(self, now: float) -> int:
         """Returns how many calls run at the target, at the most."""
--- a/src/jujubeyard/gate/upstream.py
+++ b/src/jujubeyard/gate/upstream.py
@@ -179,6 +179,16 @@
         """
         return await self._probe("GET", headers.HEALTH_PATH, None)
 
+    @property
+    def incarnation(self) -> str:
+        """The target's incarnation; an empty string if it is not known."""
+        return self._incarnation
+
+    def expect(self, incarnation: str) -> None:
+        """Means calls for an incarnation that another gate has known."""
+        if incarnation and not self._incarnation:
+            self._incarnation = incarnation
+
     @property
     def knows_clock(self) -> bool:
         """Whether the target has reported its clock."""
@@ -216,6 +226,7 @@
         }
         if self.knows_clock:
             sent[headers.DEADLINE] = f"{self._target_time(seconds):.6f}"
+        if self._incarnation:
             sent[headers.INCARNATION] = self._incarnation
         if call.key:
             sent[headers.KEY] = call.key
--- a/src/jujubeyard/link/messages.py
+++ b/src/jujubeyard/link/messages.py
@@ -139,6 +139,8 @@
             shard, seconds since the epoch].
         busy: Milliseconds until calls whose end the gate doesn't know have
             certainly ended.
+        limit: Calls that the target was found to bear; 0 if not known.
+        incarnation: The target's incarnation that was found to bear them.
     """
 
     query: int
@@ -146,6 +148,8 @@
     ids: list
     horizons: list
     busy: float
+    limit: int
+    incarnation: str
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/admission/test_ramp.py
+++ b/tests/admission/test_ramp.py
@@ -54,3 +54,14 @@
     limit.observe_success(0.01)
     limit.observe_success(1.0)
     assert limit.is_warm
+
+
+@pytest.mark.parametrize(
+    ("limit", "expected"), [(0, 1), (1, 1), (3, 3), (4, 4), (9, 4)]
+)
+def test_handed_over_limit_is_resumed(limit, expected):
+    resumed = ramp.Ramp(1, 4, 10)
+    resumed.resume(limit, "1")
+    assert resumed.limit == expected
+    resumed.observe_incarnation("2")
+    assert resumed.limit == 1
