--- a/scripts/trial.py
+++ b/scripts/trial.py
@@ -15,38 +15,31 @@
 Kind = specs.KindSpec
 Stream = generator.Stream
 
+
+def _keyed_service(name: str, checks_grants: bool) -> specs.ServiceSpec:
+    return specs.ServiceSpec(
+        name,
+        (
+            Kind("read", True, 0, deadline_ms=800),
+            Kind("write", False, 1, deadline_ms=1000),
+        ),
+        4,
+        keyed=True,
+        shards=16,
+        cold_slots=2,
+        warm_calls=8,
+        work_ms=40.0,
+        checks_grants=checks_grants,
+    )
+
+
 SPEC = specs.ClusterSpec(
     "trial",
     ("a", "b", "c"),
     5,
     (
-        specs.ServiceSpec(
-            "desk",
-            (
-                Kind("read", True, 0, deadline_ms=800),
-                Kind("write", False, 1, deadline_ms=1000),
-            ),
-            4,
-            keyed=True,
-            shards=16,
-            cold_slots=2,
-            warm_calls=8,
-            work_ms=40.0,
-            checks_grants=True,
-        ),
-        specs.ServiceSpec(
-            "plot",
-            (
-                Kind("read", True, 0, deadline_ms=800),
-                Kind("write", False, 1, deadline_ms=1000),
-            ),
-            4,
-            keyed=True,
-            shards=16,
-            cold_slots=2,
-            warm_calls=8,
-            work_ms=40.0,
-        ),
+        _keyed_service("desk", True),
+        _keyed_service("plot", False),
         specs.ServiceSpec(
             "pool", (Kind("order", False, 1), Kind("look", True)), 3
         ),
