Pass over drained targets when a pooled call is routed

An entry chose among the gates of all its targets, drained ones too; a gate whose only target of the service was drained sent nothing and held the call until its deadline. Ruled out: capacity of the other targets, cold restarts, moves of shards (no keyed call was refused).

Now the entry chooses among gates of targets in use, and a gate answers NOT_READY when no target of a queue is both held and in use, so that the entry sends the call elsewhere.

--- a/src/jujubeyard/entry/entry.py
+++ b/src/jujubeyard/entry/entry.py
@@ -217,7 +217,12 @@
     ) -> messages.CallReply:
         plan = self._follower.plan
         route = routing.find_route(
-            plan, parsed.service, call.shard, self._loads, self._rng
+            plan,
+            parsed.service,
+            self._follower.config.targets,
+            call.shard,
+            self._loads,
+            self._rng,
         )
         if route is None:
             return _local_reply(codes.ResultCode.NO_TARGET)
--- a/src/jujubeyard/entry/routing.py
+++ b/src/jujubeyard/entry/routing.py
@@ -51,6 +51,7 @@
 def find_route(
     plan: plan_tables.Plan,
     service: config_tables.ServiceRow,
+    targets: dict[str, config_tables.TargetRow],
     shard: int,
     loads: dict[str, GateLoad],
     rng: random.Random,
@@ -58,10 +59,10 @@
     """Returns the route of a call, or None if no gate can take it.
 
     A call of any target goes to the less loaded of two random gates, weighted
-    by the targets that they hold.
+    by the targets in use that they hold.
     """
     if shard < 0:
-        return _find_any(plan, service, loads, rng)
+        return _find_any(plan, service, targets, loads, rng)
     table = plan.shards.get(service.name)
     if table is None or shard >= len(table.owners):
         return None
@@ -69,11 +70,12 @@
     return Route(gate.address, shard) if gate else None
 
 
-def _find_any(plan, service, loads, rng) -> Route | None:
+def _find_any(plan, service, targets, loads, rng) -> Route | None:
     addresses = []
-    for target in service.targets:
-        gate = plan.gate_of(target)
-        if gate is not None:
+    for name in service.targets:
+        gate = plan.gate_of(name)
+        target = targets.get(name)
+        if gate is not None and target is not None and not target.drained:
             addresses.append(gate.address)
     if not addresses:
         return None
--- a/src/jujubeyard/gate/dispatch.py
+++ b/src/jujubeyard/gate/dispatch.py
@@ -252,7 +252,7 @@
     for held in gate.queues.values():
         if not len(held.waiting):
             continue
-        stuck = not _has_settled_target(gate, held)
+        stuck = not _has_usable_target(gate, held, now)
         for entry in held.waiting.entries():
             if entry.deadline <= now:
                 held.waiting.remove(entry)
@@ -268,12 +268,9 @@
             _expire_parked(gate, shard, now)
 
 
-def _has_settled_target(gate, held: tables.QueueRow) -> bool:
-    return any(
-        gate.targets[name].life.is_held()
-        for name in held.targets
-        if name in gate.targets
-    )
+def _has_usable_target(gate, held: tables.QueueRow, now: float) -> bool:
+    rows = [gate.targets[name] for name in held.targets if name in gate.targets]
+    return any(row.life.is_held() and not _is_out(row, now) for row in rows)
 
 
 def _expire_parked(gate, shard: tables.ShardRow, now: float) -> None:
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -28,9 +28,9 @@
 class FakeController:
     """Promises leases and pushes one plan that gives the gate everything."""
 
-    def __init__(self, manifest: dict):
+    def __init__(self, manifest: dict, drained: list[str]):
         self.manifest = manifest
-        self.config = records.ConfigRecord(1, manifest, [], [], {}, [])
+        self.config = records.ConfigRecord(1, manifest, [], drained, {}, [])
         self.plan: tables.Plan | None = None
         self.promises = True
         self.renewals: list[messages.Renew] = []
@@ -95,7 +95,12 @@
 
 
 @contextlib.asynccontextmanager
-async def gate_before(targets: int = 1, service: dict | None = None, **standin):
+async def gate_before(
+    targets: int = 1,
+    service: dict | None = None,
+    drained: tuple[str, ...] = (),
+    **standin,
+):
     """Yields a FakeEntry and the FakeController."""
     manifest = builders.make_manifest(targets, shards=4, **(service or {}))
     async with contextlib.AsyncExitStack() as stack:
@@ -107,7 +112,7 @@
             if standin.get("slots", 6) > 0:
                 serving = processes.serving(target.serve, cfg)
                 await stack.enter_async_context(serving)
-        controller = FakeController(manifest)
+        controller = FakeController(manifest, list(drained))
         fake = processes.FakePeer("controller", controller.answer)
         await stack.enter_async_context(fake)
         cfg = settings.GateSettings(
@@ -264,6 +269,14 @@
         assert reply.code == Code.NOT_READY
 
 
+async def test_pooled_call_does_not_wait_for_a_drained_target():
+    async with gate_before(
+        work_ms=1.0, service={"keyed": False}, drained=("desk-0",)
+    ) as (entry, _):
+        reply = await entry.call("read", shard=-1)
+        assert reply.code == Code.NOT_READY
+
+
 async def test_gate_without_promises_stops():
     async with gate_before(work_ms=1.0) as (entry, controller):
         assert (await entry.call("read")).code == Code.OK
