Plan only while a majority of the fleet is heard

Ruled out: lost subscriptions, dead link tasks, a broken watch.

Now a controller plans only while it has just heard (0.5 s, below the 0.9 s after which a gate is taken for lost) a majority of the newest witnesses or of the listed VMs, and listens 0.6 s after it did not. The very first plan waits 1 s after the first gate; it had given all targets to one gate, and levelling ran on through whole trials. Times of readiness moved out of the controller into a module of their own.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -61,6 +61,14 @@
         "return self._valid_until > 0.0",
         f"{_ALONE}[drain_zone_of_cut_gate]",
     ),
+    Mutant(
+        "a controller plans for a fleet that it does not hear",
+        "controller/readiness.py",
+        "    return _is_majority(heard, witnesses)"
+        " or _is_majority(heard, listed)\n",
+        "    return True\n",
+        "tests/controller/test_controller.py",
+    ),
     Mutant(
         "witnesses promise nothing without the store",
         "controller/handlers.py",
--- a/src/jujubeyard/controller/controller.py
+++ b/src/jujubeyard/controller/controller.py
@@ -12,6 +12,7 @@
 from jujubeyard.controller import handlers
 from jujubeyard.controller import metrics
 from jujubeyard.controller import ranks
+from jujubeyard.controller import readiness
 from jujubeyard.controller import spread
 from jujubeyard.controller import tables
 from jujubeyard.controller import vm_list
@@ -33,18 +34,9 @@
 TICK_SECONDS = 0.05
 SLOW_TICK_SECONDS = 0.4
 BEAT_SECONDS = 0.3
-PLAN_SECONDS = 0.1
 LEVEL_SECONDS = 2.0
 VM_LIST_SECONDS = 1.0
 FORGET_SECONDS = 30.0
-WARM_UP_SECONDS = 1.5
-"""How long a controller listens before it plans: after its start, a pause, or
-when it becomes one of those that gates report to."""
-
-STALL_SECONDS = 0.5
-"""A tick that is late by this much means that the process was paused."""
-
-MILLISECONDS = 1000.0
 
 
 class Controller:
@@ -70,20 +62,17 @@
         self._watches: list[asyncio.Task] = []
         self._writing = False
         self._store_ok = True
-        self._plan_now = False
+        self._readiness = readiness.Readiness(now)
         self._next_beat = 0.0
-        self._next_plan = now + WARM_UP_SECONDS
         self._next_level = now + LEVEL_SECONDS
         self._next_vm_list = 0.0
-        self._last_tick = now
-        self._watching_since = now
         self._planned_from: tuple | None = None
         self._metrics = metrics.ControllerMetrics(owner.registry)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until the event is set."""
         await self._server.start(self._cfg.listen)
-        self._tick(TICK_SECONDS, self._notice_stall, self._beat, self._plan)
+        self._tick(TICK_SECONDS, self._notice_tick, self._beat, self._plan)
         self._tick(
             SLOW_TICK_SECONDS,
             self._keep_links,
@@ -115,6 +104,7 @@
             "config_version": self.known.config_version,
             "rank": self._rank(now),
             "store_ok": self._store_ok,
+            "hears_enough": self._hears_enough(now),
             "controllers": sorted(
                 beat.witness for beat in self.tables.live_peers(now)
             ),
@@ -150,22 +140,20 @@
             renew.lost,
             renew.leaving,
         ):
-            self._plan_now = True
-        self.tables.gates[renew.holder] = tables.GateRow(
-            renew, clock.boottime(), loads
-        )
+            self._readiness.hurry()
+        now = clock.boottime()
+        self._readiness.notice_gate(now)
+        self.tables.gates[renew.holder] = tables.GateRow(renew, now, loads)
 
     def install_config(self, body: bytes, from_store: bool) -> None:
         """Installs a configuration and plans for it at once."""
         if self.spreader.install_config(body, from_store):
-            self._plan_now = True
+            self._readiness.hurry()
 
     # Systems.
 
-    def _notice_stall(self, now: float) -> None:
-        if now - self._last_tick > TICK_SECONDS + STALL_SECONDS:
-            self._next_plan = now + WARM_UP_SECONDS
-        self._last_tick = now
+    def _notice_tick(self, now: float) -> None:
+        self._readiness.notice_tick(now, TICK_SECONDS)
 
     def _keep_links(self, now: float) -> None:
         del now
@@ -213,7 +201,7 @@
             self._store_ok = self._store.healthy
         if self._rank(now) < ranks.WATCHERS:
             if not self._watches:
-                self._watching_since = now
+                self._readiness.start_listening(now)
                 self._watches = [
                     self._tasks.spawn(self._watch_config()),
                     self._tasks.spawn(self._watch_plan()),
@@ -234,14 +222,15 @@
             self.spreader.install_plan(value.body, True)
 
     def _plan(self, now: float) -> None:
-        warm = now >= self._next_plan
-        early = self._plan_now and now >= self._next_plan - PLAN_SECONDS
-        if self._writing or not (warm or early) or not self._store_ok:
+        if self._writing or not self._store_ok or self.known.config is None:
+            return
+        if not self._readiness.may_plan(now, self.known.plan.version):
             return
-        self._next_plan = now + PLAN_SECONDS
-        self._plan_now = False
-        heard = now - self._watching_since >= WARM_UP_SECONDS
-        if self.known.config is None or not heard or self._rank(now) != 0:
+        self._readiness.planned(now)
+        if not self._hears_enough(now):
+            self._readiness.hear_again(now)
+            return
+        if self._rank(now) != 0:
             return
         seen = self._observe(now)
         if not self._is_news(seen):
@@ -253,6 +242,15 @@
         self._writing = True
         self._tasks.spawn(self._write_plan(draft))
 
+    def _hears_enough(self, now: float) -> bool:
+        own = plan_tables.vm_of(self.name)
+        return readiness.hears_enough(
+            self.known.plan,
+            self.tables.heard_vms(now) | {own},
+            self.tables.listed_vms(),
+            self.tables.gone_vms(now),
+        )
+
     def _is_news(self, seen: observation.Observation) -> bool:
         """Returns whether a plan may differ from the latest attempt."""
         news = (
--- a/src/jujubeyard/controller/tables.py
+++ b/src/jujubeyard/controller/tables.py
@@ -4,10 +4,15 @@
 
 from jujubeyard.link import messages
 from jujubeyard.plan import observation
+from jujubeyard.plan import tables as plan_tables
 
 PEER_LOST_SECONDS = 0.9
 """Silence after which a controller counts as lost."""
 
+HEARD_SECONDS = 0.5
+"""Silence after which a controller is not counted as heard. Shorter than the
+others, so that one that is cut off notices before it takes gates for lost."""
+
 GATE_LOST_SECONDS = 0.9
 """Silence after which a gate counts as lost."""
 
@@ -69,6 +74,20 @@
             if now - row.heard_at < PEER_LOST_SECONDS
         ]
 
+    def heard_vms(self, now: float) -> frozenset[str]:
+        """Returns VMs whose controllers have just been heard."""
+        return frozenset(
+            plan_tables.vm_of(name)
+            for name, row in self.peers.items()
+            if now - row.heard_at < HEARD_SECONDS
+        )
+
+    def listed_vms(self) -> frozenset[str]:
+        """Returns VMs that the platform lists."""
+        return frozenset(
+            row.vm for row in self.vms.values() if row.missed_since is None
+        )
+
     def live_gates(self, now: float) -> dict[str, observation.GateView]:
         """Returns views of the gates that are alive, by holder."""
         return {
