Retry less often inside while a service has no target

The pause between tries now grows to 0.32 s instead of 0.08, and starts again from 5 ms when a plan or a configuration arrives, which is what a call mostly waits for.

--- a/src/jujubeyard/entry/entry.py
+++ b/src/jujubeyard/entry/entry.py
@@ -31,7 +31,7 @@
 RETRY_RATIO = 0.1
 RETRY_BURST = 10.0
 BACKOFF_SECONDS = 0.005
-MAX_BACKOFF_SECONDS = 0.08
+MAX_BACKOFF_SECONDS = 0.32
 REPLY_GRACE_SECONDS = 0.1
 MILLISECONDS = 1000.0
 HEALTH_PATH = "/-/health"
@@ -178,14 +178,18 @@
                 return _conclude(last, may_have_run)
             if not codes.TABLE[codes.ResultCode(last.code)].not_run:
                 may_have_run = True
-            await self._wait(min(backoff, max(0.0, left)))
-            backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
+            if await self._is_changed_within(min(backoff, max(0.0, left))):
+                backoff = BACKOFF_SECONDS
+            else:
+                backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
 
-    async def _wait(self, seconds: float) -> None:
+    async def _is_changed_within(self, seconds: float) -> bool:
+        """Waits for a new plan or configuration, for a time at most."""
         try:
             await asyncio.wait_for(self._follower.changed.wait(), seconds)
         except TimeoutError:
-            return
+            return False
+        return True
 
     def _should_retry(self, parsed, reply: messages.CallReply) -> bool:
         code = codes.ResultCode(reply.code)
