Move planning and replies into modules of their own

What decides and writes plans is now controller/planning.py, what callers are told entry/replies.py; no behaviour changes. A local list named like a module is gone. Two mutants for the routing past drained targets.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -121,6 +121,20 @@
         "drained = False",
         f"{_ALONE}[drain_zone]",
     ),
+    Mutant(
+        "entries send pooled calls to gates of drained targets",
+        "entry/routing.py",
+        "target is not None and not target.drained:",
+        "target is not None:",
+        "tests/entry/test_routing.py",
+    ),
+    Mutant(
+        "gates keep pooled calls for drained targets",
+        "gate/dispatch.py",
+        "row.life.is_held() and not _is_out(row, now) for row in rows",
+        "row.life.is_held() for row in rows",
+        "tests/gate/test_gate.py",
+    ),
     Mutant(
         "answers are not matched with their calls",
         "gate/dispatch.py",
@@ -137,7 +151,7 @@
     ),
     Mutant(
         "entries forget that an attempt may have run",
-        "entry/entry.py",
+        "entry/replies.py",
         "    if may_have_run and not_run:\n",
         "    if False:\n",
         "tests/entry/test_entry.py",
--- a/src/jujubeyard/controller/controller.py
+++ b/src/jujubeyard/controller/controller.py
@@ -12,12 +12,11 @@
 from jujubeyard.controller import config_store
 from jujubeyard.controller import handlers
 from jujubeyard.controller import metrics
+from jujubeyard.controller import planning
 from jujubeyard.controller import ranks
-from jujubeyard.controller import readiness
 from jujubeyard.controller import spread
 from jujubeyard.controller import tables
 from jujubeyard.controller import vm_list
-from jujubeyard.events import kinds
 from jujubeyard.internal import node
 from jujubeyard.internal import ticker
 from jujubeyard.lease import witness
@@ -26,15 +25,11 @@
 from jujubeyard.link import pool
 from jujubeyard.link import server
 from jujubeyard.manifest import address as addresses
-from jujubeyard.plan import observation
-from jujubeyard.plan import planner
-from jujubeyard.plan import tables as plan_tables
 from jujubeyard.store import client
 from jujubeyard.store import records
 
 TICK_SECONDS = 0.1
 SLOW_TICK_SECONDS = 0.4
-LEVEL_SECONDS = 2.0
 VM_LIST_SECONDS = 1.0
 FORGET_SECONDS = 30.0
 
@@ -52,7 +47,6 @@
         self.name = owner.me.name
         self._node = owner
         self._store = client.StoreClient(cfg.store)
-        self._writer = config_store.PlanWriter(self._store, cfg.cluster)
         self._vm_list = vm_list.VmListClient(cfg.vm_list)
         self._server = server.LinkServer(owner.me, self.handle, owner.faults)
         self._peers = pool.LinkPool(owner.me, self.handle, owner.faults)
@@ -67,14 +61,19 @@
         )
         self._ticker.slow_down(TICK_SECONDS)
         self._watches: list[asyncio.Task] = []
-        self._writing = False
         self._store_ok = True
-        self._readiness = readiness.Readiness(now)
         self._beater = beats.Beater()
-        self._next_level = now + LEVEL_SECONDS
         self._next_vm_list = 0.0
-        self._planned_from: tuple | None = None
         self._metrics = metrics.ControllerMetrics(owner.registry)
+        self._planning = planning.Planning(
+            owner,
+            self.tables,
+            self.spreader,
+            config_store.PlanWriter(self._store, cfg.cluster),
+            self._metrics,
+            self._tasks,
+            now,
+        )
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until the event is set."""
@@ -109,7 +108,7 @@
             "config_version": self.known.config_version,
             "rank": self._rank(now),
             "store_ok": self._store_ok,
-            "hears_enough": self._hears_enough(now),
+            "hears_enough": self._planning.hears_enough(now),
             "controllers": sorted(
                 beat.witness for beat in self.tables.live_peers(now)
             ),
@@ -147,7 +146,7 @@
         ):
             self._hurry()
         now = clock.boottime()
-        self._readiness.notice_gate(now)
+        self._planning.ready.notice_gate(now)
         self.tables.gates[renew.holder] = tables.GateRow(renew, now, loads)
 
     def install_config(self, body: bytes, from_store: bool) -> None:
@@ -156,15 +155,13 @@
             self._hurry()
 
     def _hurry(self) -> None:
-        self._readiness.hurry()
+        self._planning.ready.hurry()
         self._ticker.wake()
 
     # Systems.
 
     def _notice_tick(self, now: float) -> None:
-        self._readiness.notice_tick(now, TICK_SECONDS)
-        if not self._hears_enough(now):
-            self._readiness.hear_again(now)
+        self._planning.notice_tick(now, TICK_SECONDS)
 
     def _keep_links(self, now: float) -> None:
         del now
@@ -199,9 +196,12 @@
             beats.BEAT_SECONDS,
         )
 
+    def _live_beats(self, now: float) -> list[messages.Beat]:
+        return [self._my_beat(), *self.tables.live_peers(now)]
+
     def _members(self, now: float) -> messages.Members:
-        beats = [self._my_beat(), *self.tables.live_peers(now)]
-        rows = sorted([b.witness, b.zone, b.address] for b in beats)
+        live = self._live_beats(now)
+        rows = sorted([b.witness, b.zone, b.address] for b in live)
         return messages.Members(rows)
 
     def _rank(self, now: float) -> int:
@@ -212,7 +212,7 @@
             self._store_ok = self._store.healthy
         if self._rank(now) < ranks.WATCHERS:
             if not self._watches:
-                self._readiness.start_listening(now)
+                self._planning.ready.start_listening(now)
                 self._watches = [
                     self._tasks.spawn(self._watch_config()),
                     self._tasks.spawn(self._watch_plan()),
@@ -233,81 +233,11 @@
             self.spreader.install_plan(value.body, True)
 
     def _plan(self, now: float) -> None:
-        if self._writing or not self._store_ok or self.known.config is None:
-            return
-        if not self._readiness.may_plan(now, self.known.plan.version):
-            return
-        self._readiness.planned(now)
-        if self._rank(now) != 0:
-            return
-        seen = self._observe(now)
-        if not self._is_news(seen):
-            return
-        draft = planner.make_plan(self.known.plan, seen)
-        if draft is None:
-            return
-        self._planned_from = None
-        self._writing = True
-        self._tasks.spawn(self._write_plan(draft))
-
-    def _hears_enough(self, now: float) -> bool:
-        own = plan_tables.vm_of(self.name)
-        return readiness.hears_enough(
-            self.known.plan,
-            self.tables.heard_vms(now) | {own},
-            self.tables.listed_vms(),
-            self.tables.gone_vms(now),
-        )
-
-    def _is_news(self, seen: observation.Observation) -> bool:
-        """Returns whether a plan may differ from the latest attempt."""
-        news = (
-            self.known.plan.version,
-            seen.config.version,
-            seen.gates,
-            seen.controllers,
-            seen.gone,
-        )
-        if news == self._planned_from and not seen.may_level:
-            return False
-        self._planned_from = news
-        return True
-
-    def _observe(self, now: float) -> observation.Observation:
-        may_level = now >= self._next_level
-        if may_level:
-            self._next_level = now + LEVEL_SECONDS
-        beats = [self._my_beat(), *self.tables.live_peers(now)]
-        controllers = {
-            beat.witness: observation.ControllerView(
-                beat.witness, beat.zone, beat.address
-            )
-            for beat in beats
-        }
-        return observation.Observation(
-            self.known.config,
-            self.tables.live_gates(now),
-            controllers,
-            self.tables.gone_vms(now),
-            self.tables.shard_loads(now),
-            may_level,
-        )
-
-    async def _write_plan(self, draft: plan_tables.Plan) -> None:
-        try:
-            written = await self._writer.write(draft)
-        finally:
-            self._writing = False
-        if written.is_err() or written.ok_value is None:
-            self._metrics.plan_writes.labels("unknown").inc()
+        if not self._store_ok or not self._planning.is_due(now):
             return
-        self.spreader.install_plan(written.ok_value, True)
-        won = self.known.plan.recent_writes[-1:] == draft.recent_writes[-1:]
-        self._metrics.plan_writes.labels("won" if won else "lost").inc()
-        if won:
-            self._node.record(
-                kinds.EventKind.PLAN_WRITTEN, version=draft.version
-            )
+        self._planning.ready.planned(now)
+        if self._rank(now) == 0:
+            self._planning.plan(now, self._live_beats(now))
 
     def _poll_vm_list(self, now: float) -> None:
         if now < self._next_vm_list:
--- a/src/jujubeyard/entry/entry.py
+++ b/src/jujubeyard/entry/entry.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import json
 import random
 
 from aiohttp import web
@@ -15,6 +14,7 @@
 from jujubeyard import settings
 from jujubeyard.admission import budget
 from jujubeyard.entry import metrics
+from jujubeyard.entry import replies
 from jujubeyard.entry import requests
 from jujubeyard.entry import routing
 from jujubeyard.events import kinds
@@ -35,8 +35,6 @@
 REPLY_GRACE_SECONDS = 0.1
 MILLISECONDS = 1000.0
 HEALTH_PATH = "/-/health"
-CODE_HEADER = "Jujubeyard-Code"
-NOT_RUN_HEADER = "Jujubeyard-Not-Run"
 SHUTDOWN_POLL_SECONDS = 0.02
 MEASURE_SECONDS = 1.0
 BALANCER_SECONDS = 1.0
@@ -128,18 +126,18 @@
     async def _serve_call(self, req: web.BaseRequest) -> web.StreamResponse:
         config = self._follower.config
         if config is None or self._follower.plan is None:
-            return _make_refusal(codes.ResultCode.NOT_CONFIGURED)
+            return replies.make_refusal(codes.ResultCode.NOT_CONFIGURED)
         parsed = requests.parse_request(req, config)
         if parsed.is_err():
             self._metrics.refused.labels(int(parsed.err_value)).inc()
-            return _make_refusal(parsed.err_value)
+            return replies.make_refusal(parsed.err_value)
         body = await self._read_body(req)
         if body is None:
-            return _make_refusal(codes.ResultCode.BODY_TOO_LARGE)
+            return replies.make_refusal(codes.ResultCode.BODY_TOO_LARGE)
         started = clock.boottime()
         reply = await self._route(req, parsed.ok_value, body)
         self._count(parsed.ok_value, reply, clock.boottime() - started)
-        return _make_response(reply)
+        return replies.make_response(reply)
 
     async def _read_body(self, req: web.BaseRequest) -> bytes | None:
         limit = self._cfg.max_body_bytes
@@ -167,15 +165,17 @@
         self._retries.earn()
         backoff = BACKOFF_SECONDS
         may_have_run = False
-        last = _local_reply(codes.ResultCode.GATE_UNREACHABLE)
+        last = replies.make_local(codes.ResultCode.GATE_UNREACHABLE)
         while True:
             left = deadline - clock.boottime()
             if left <= 0:
-                return _conclude(_at_deadline(last), may_have_run)
+                return replies.conclude(
+                    replies.settle_at_deadline(last), may_have_run
+                )
             call = self._make_call(req, parsed, shard, body, left)
             last = await self._attempt(parsed, call, left)
             if not self._should_retry(parsed, last):
-                return _conclude(last, may_have_run)
+                return replies.conclude(last, may_have_run)
             if not codes.TABLE[codes.ResultCode(last.code)].not_run:
                 may_have_run = True
             if await self._is_changed_within(min(backoff, max(0.0, left))):
@@ -229,11 +229,11 @@
             self._rng,
         )
         if route is None:
-            return _local_reply(codes.ResultCode.NO_TARGET)
+            return replies.make_local(codes.ResultCode.NO_TARGET)
         peer = self._gates.get(route.address)
         fut = peer.ask(call) if peer else None
         if fut is None:
-            return _local_reply(codes.ResultCode.GATE_UNREACHABLE)
+            return replies.make_local(codes.ResultCode.GATE_UNREACHABLE)
         load = self._loads.setdefault(route.address, routing.GateLoad())
         load.outstanding += 1
         try:
@@ -242,10 +242,10 @@
             load.queued = reply.queued
             return reply
         except ConnectionError:
-            return _local_reply(codes.ResultCode.OUTCOME_UNKNOWN)
+            return replies.make_local(codes.ResultCode.OUTCOME_UNKNOWN)
         except TimeoutError:
             peer.send(messages.CancelCall(call.query))
-            return _local_reply(codes.ResultCode.DEADLINE_EXCEEDED)
+            return replies.make_local(codes.ResultCode.DEADLINE_EXCEEDED)
         except asyncio.CancelledError:
             peer.send(messages.CancelCall(call.query))
             raise
@@ -281,60 +281,3 @@
 
 def _ignore(peer: link.Link, message: messages.Message) -> None:
     del peer, message
-
-
-def _local_reply(code: codes.ResultCode) -> messages.CallReply:
-    return messages.CallReply(0, int(code), 0, "", b"", "", 0, 0)
-
-
-def _at_deadline(last: messages.CallReply) -> messages.CallReply:
-    """Returns the last outcome of a call whose deadline has passed."""
-    code = codes.ResultCode(last.code)
-    if code in codes.REROUTABLE:
-        return _local_reply(codes.ResultCode.DEADLINE_UNREACHABLE)
-    return last
-
-
-def _conclude(
-    reply: messages.CallReply, may_have_run: bool
-) -> messages.CallReply:
-    """Returns the outcome of a call after all its attempts.
-
-    Args:
-        reply: Outcome of the last attempt.
-        may_have_run: Whether an earlier attempt may have run, so that "not
-            run" would not be true of the whole call.
-    """
-    not_run = codes.TABLE[codes.ResultCode(reply.code)].not_run
-    if may_have_run and not_run:
-        return _local_reply(codes.ResultCode.OUTCOME_UNKNOWN)
-    return reply
-
-
-def _make_response(reply: messages.CallReply) -> web.Response:
-    if reply.status == 0:
-        return _make_refusal(codes.ResultCode(reply.code))
-    headers = {CODE_HEADER: str(reply.code), NOT_RUN_HEADER: "false"}
-    if reply.content_type:
-        headers["Content-Type"] = reply.content_type
-    return web.Response(status=reply.status, body=reply.body, headers=headers)
-
-
-def _make_refusal(code: codes.ResultCode) -> web.Response:
-    info = codes.TABLE[code]
-    document = {
-        "code": int(code),
-        "name": code.name.lower(),
-        "not_run": info.not_run,
-        "summary": info.summary,
-    }
-    headers = {
-        CODE_HEADER: str(int(code)),
-        NOT_RUN_HEADER: str(info.not_run).lower(),
-        "Content-Type": "application/json",
-    }
-    return web.Response(
-        status=info.http_status,
-        body=json.dumps(document).encode(),
-        headers=headers,
-    )
