Prove handovers by draining targets in turn

Since chance moves no shards any more, the mutant that releases shards while calls run went unnoticed at drain_target: a single drain moves few shards.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -296,6 +296,23 @@
                 return False
         return True
 
+    async def wait_warm(self, seconds: float) -> None:
+        """Waits until gates find all targets warm, but not for longer."""
+        give_up_at = time.monotonic() + seconds
+        while time.monotonic() < give_up_at and not await self._is_warm():
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _is_warm(self) -> bool:
+        limits: dict[str, int] = {}
+        for vm in self.vms:
+            gate = await self.status("gate", vm)
+            for name, row in (gate or {"targets": {}})["targets"].items():
+                limits[name] = row["limit"]
+        return all(
+            limits.get(name, 0) >= service.slots
+            for name, _, _, service in self.targets()
+        )
+
     async def bring_up(self) -> None:
         """Waits for the processes, applies the manifest, waits again."""
         await self.wait_up()
--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -26,6 +26,7 @@
 LONG_STORE_DOWN_SECONDS = 60.0
 SLOW_STORE_MS = 400.0
 DRAIN_SECONDS = 5.5
+TURN_SECONDS = 0.5
 
 
 def _pick_vm(harness: history.Harness, rng: random.Random) -> str:
@@ -300,6 +301,21 @@
     await harness.operate("target", "restore", name)
 
 
+async def drain_targets_in_turn(harness, rng) -> None:
+    """Takes targets that own keys out and back in, one after the other."""
+    names = [
+        name
+        for name, _, _, service in harness.cluster.targets()
+        if service.keyed
+    ]
+    rng.shuffle(names)
+    for name in names:
+        await harness.operate("target", "drain", name)
+        await asyncio.sleep(TURN_SECONDS)
+        await harness.operate("target", "restore", name)
+        await asyncio.sleep(TURN_SECONDS)
+
+
 async def restart_gate_gracefully(harness, rng) -> None:
     """Sends SIGTERM to a gate and starts another in its place."""
     vm = _pick_vm(harness, rng)
@@ -370,6 +386,7 @@
         slow_target,
         drain_zone,
         drain_target,
+        drain_targets_in_turn,
         restart_gate_gracefully,
         restart_entry_gracefully,
         lag_vm_list,
--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -45,7 +45,7 @@
         "gate/release.py",
         "    if not row.service.keyed:\n        return True\n",
         "    return True\n",
-        f"{_ALONE}[drain_target]",
+        f"{_ALONE}[drain_targets_in_turn]",
     ),
     Mutant(
         "witnesses forget their promises",
