--- a/src/jujubeyard/internal/ticker.py
+++ b/src/jujubeyard/internal/ticker.py
@@ -33,13 +33,13 @@
         self._read_clock = read_clock
         self._logger = logger
         self._idle_seconds = seconds
-        self._is_idle: collections.abc.Callable[[], bool] = bool
+        self._is_idle: collections.abc.Callable[[], bool] = _never
         self._rest: asyncio.Future | None = None
 
     def slow_down(
         self,
         seconds: float,
-        is_idle: collections.abc.Callable[[], bool] = lambda: True,
+        is_idle: collections.abc.Callable[[], bool] | None = None,
     ) -> None:
         """Makes ticks longer, and lets them be ended, while nothing is pending.
 
@@ -48,7 +48,7 @@
             is_idle: Whether nothing is pending; by default always.
         """
         self._idle_seconds = seconds
-        self._is_idle = is_idle
+        self._is_idle = is_idle or _always
 
     def wake(self) -> None:
         """Starts the next tick now if the current one is a long one."""
@@ -82,6 +82,14 @@
             self._rest = None
 
 
+def _never() -> bool:
+    return False
+
+
+def _always() -> bool:
+    return True
+
+
 def _name(system: System) -> str:
     return getattr(system, "__qualname__", repr(system))
 
