Keep what a forgotten holder was stopped under

Its history: gate vm-3 was cut off under plan 1, its targets were taken over under plan 2, and plan 4 no longer named it. Witnesses then forgot it, and with it that they had stopped promises under plans before 2. When the cut ended, its first renewal, still under plan 1, was granted; it sent one call to plot-3, 3 ms before it got plan 4, while plot-1 owned the shard. Targets that check grants refuse such a call; plot's don't.

A witness now keeps the highest plan under which a forgotten holder was stopped, and takes it as the floor of any holder that it does not know.

--- a/scripts/mutants.py
+++ b/scripts/mutants.py
@@ -54,6 +54,13 @@
         "return 0.0",
         "tests/lease/test_takeover_machine.py",
     ),
+    Mutant(
+        "witnesses forget whom they have stopped",
+        "lease/witness.py",
+        "return _HolderRow(floor=self._forgotten_floor)",
+        "return _HolderRow()",
+        "tests/lease/test_witness.py",
+    ),
     Mutant(
         "a holder ignores the end of its lease",
         "lease/holder.py",
--- a/src/jujubeyard/lease/witness.py
+++ b/src/jujubeyard/lease/witness.py
@@ -32,6 +32,7 @@
     def __init__(self, started_at: float):
         self._started_at = started_at
         self._holders: dict[str, _HolderRow] = {}
+        self._forgotten_floor = 0
 
     def __len__(self) -> int:
         return len(self._holders)
@@ -51,7 +52,7 @@
         if row is None:
             if len(self._holders) >= MAX_HOLDERS:
                 return False
-            row = self._holders[holder] = _HolderRow()
+            row = self._holders[holder] = self._make_row()
         if plan_version < row.floor:
             return False
         row.expiries[plan_version] = now + terms.WITNESS_SECONDS
@@ -64,7 +65,7 @@
             Seconds until the last promise under such plans lapses; 0.0 if
             there is none.
         """
-        row = self._holders.setdefault(holder, _HolderRow())
+        row = self._holders.setdefault(holder, self._make_row())
         row.floor = max(row.floor, below_version)
         ends = [
             expiry
@@ -78,7 +79,12 @@
         return now - self._started_at
 
     def forget(self, named: set[str], now: float) -> None:
-        """Drops lapsed promises, and holders that no plan names any more."""
+        """Drops lapsed promises, and holders that no plan names any more.
+
+        A holder that was stopped may still be alive and know nothing of it, so
+        that its floor outlives it: whoever is not known has to have installed
+        all plans under which anyone was stopped.
+        """
         for holder in list(self._holders):
             row = self._holders[holder]
             row.expiries = {
@@ -87,4 +93,8 @@
                 if expiry > now
             }
             if not row.expiries and holder not in named:
+                self._forgotten_floor = max(self._forgotten_floor, row.floor)
                 del self._holders[holder]
+
+    def _make_row(self) -> _HolderRow:
+        return _HolderRow(floor=self._forgotten_floor)
