Share what benchmarks and in-process tests wrote again

Five benchmarks wrote JSON and medians with spreads each their own way: bench/results.py. Two tests dialled a process that starts, three spelt out the settings that all roles have: tests/utils/processes.py. Assertions are untouched. make bench runs bench.outages as well.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench.policy
 	$(BIN)/python -m bench.stragglers
+	$(BIN)/python -m bench.outages
 
 bench-path: $(STAMP)
 	$(BIN)/python -m bench.path
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import dataclasses
-import json
 import pathlib
 import statistics
 import sys
@@ -20,6 +19,7 @@
 import fire
 
 from bench import procfs
+from bench import results
 from jujubeyard import context
 from jujubeyard.admission import dedupe
 from jujubeyard.load import generator
@@ -290,9 +290,7 @@
         print(f"{targets} targets measured", file=sys.stderr)
     rows += _idle_rows("targets", TARGET_COUNTS, found)
     tables.write_table(env, rows)
-    path = pathlib.Path(out)
-    path.parent.mkdir(parents=True, exist_ok=True)
-    path.write_text(json.dumps(rows, indent=1), encoding="utf-8")
+    results.write_json(out, rows)
 
 
 if __name__ == "__main__":
--- a/bench/outages.py
+++ b/bench/outages.py
@@ -12,15 +12,14 @@
 import asyncio
 import contextlib
 import dataclasses
-import json
 import pathlib
-import statistics
 import subprocess
 import sys
 import tempfile
 
 import fire
 
+from bench import results
 from jujubeyard import context
 from jujubeyard.events import kinds
 from jujubeyard.load import generator
@@ -212,18 +211,17 @@
 
 def _make_row(name: str, policy: str, service: str, found) -> dict:
     row = {"event": name, "policy": policy, "service": service}
-    row["answered, %"] = _spread([s.answered for s in found])
-    row["longest gap of a key, s"] = _spread([s.gap for s in found])
-    row["sends a call"] = _spread([s.sends for s in found])
-    row["tries at gates a call"] = _spread([s.tries for s in found])
+    row["answered, %"] = _spread_or_none([s.answered for s in found])
+    row["longest gap of a key, s"] = _spread_or_none([s.gap for s in found])
+    row["sends a call"] = _spread_or_none([s.sends for s in found])
+    row["tries at gates a call"] = _spread_or_none([s.tries for s in found])
     return row
 
 
-def _spread(values: list[float]) -> str:
+def _spread_or_none(values: list[float]) -> str:
     if not any(values):
         return "-"
-    middle = statistics.median(values)
-    return f"{middle:.3g} ({min(values):.3g} to {max(values):.3g})"
+    return results.spread(values)
 
 
 def run(seeds: int = 3, out: str = "build/outages.json") -> None:
@@ -248,9 +246,7 @@
             ]
             print(f"{name}, {policy}: measured", file=sys.stderr)
     tables.write_table(env, rows)
-    path = pathlib.Path(out)
-    path.parent.mkdir(parents=True, exist_ok=True)
-    path.write_text(json.dumps(rows, indent=1), encoding="utf-8")
+    results.write_json(out, rows)
 
 
 if __name__ == "__main__":
--- a/bench/path.py
+++ b/bench/path.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import dataclasses
-import json
 import pathlib
 import statistics
 import subprocess
@@ -22,6 +21,7 @@
 from hdrh import histogram
 
 from bench import procfs
+from bench import results
 from jujubeyard import context
 from jujubeyard.output import tables
 from scripts import cluster
@@ -217,8 +217,7 @@
             {
                 "in flight": concurrency,
                 "entry + gate over forwarder, cpu a call": (
-                    f"{statistics.median(ratios):.2f} "
-                    f"({min(ratios):.2f} to {max(ratios):.2f})"
+                    results.spread(ratios, ".2f")
                 ),
             }
         )
@@ -240,13 +239,11 @@
     tables.write_table(env, _summarise(samples))
     tables.write_lines(env, [""])
     tables.write_table(env, _ratios(samples))
-    path = pathlib.Path(out)
-    path.parent.mkdir(parents=True, exist_ok=True)
     document = {
         name: [dataclasses.asdict(s) for s in found]
         for name, found in samples.items()
     }
-    path.write_text(json.dumps(document, indent=1), encoding="utf-8")
+    results.write_json(out, document)
 
 
 if __name__ == "__main__":
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -9,15 +9,13 @@
 """
 
 import collections
-import json
-import pathlib
 import random
-import statistics
 import sys
 
 import fire
 import xxhash
 
+from bench import results
 from jujubeyard import context
 from jujubeyard import shards as shard_hash
 from jujubeyard.admission import queue
@@ -239,11 +237,11 @@
                 {
                     "user": user,
                     "policy": make.name,
-                    "max/mean load": _spread([f[0] for f in found]),
-                    "keys moved needlessly by a loss, %": _spread(
+                    "max/mean load": results.spread([f[0] for f in found]),
+                    "keys moved needlessly by a loss, %": results.spread(
                         [100 * f[1] for f in found]
                     ),
-                    "keys moved by a return, %": _spread(
+                    "keys moved by a return, %": results.spread(
                         [100 * f[2] for f in found]
                     ),
                 }
@@ -312,8 +310,10 @@
         rows.append(
             {
                 "policy": name,
-                "Jain index of greedy members": _spread([f[0] for f in found]),
-                "p99 wait of urgent calls, service times": _spread(
+                "Jain index of greedy members": results.spread(
+                    [f[0] for f in found]
+                ),
+                "p99 wait of urgent calls, service times": results.spread(
                     [f[1] for f in found]
                 ),
             }
@@ -321,11 +321,6 @@
     return rows
 
 
-def _spread(values: list[float]) -> str:
-    middle = statistics.median(values)
-    return f"{middle:.3g} ({min(values):.3g} to {max(values):.3g})"
-
-
 def run(seeds: int = 5, out: str = "build/policy.json") -> None:
     """Runs the benchmark.
 
@@ -341,10 +336,8 @@
     tables.write_table(env, placement)
     tables.write_lines(env, [""])
     tables.write_table(env, admission)
-    path = pathlib.Path(out)
-    path.parent.mkdir(parents=True, exist_ok=True)
     document = {"placement": placement, "admission": admission}
-    path.write_text(json.dumps(document, indent=1), encoding="utf-8")
+    results.write_json(out, document)
 
 
 if __name__ == "__main__":
--- a/bench/stragglers.py
+++ b/bench/stragglers.py
@@ -10,14 +10,13 @@
 """
 
 import asyncio
-import json
 import pathlib
-import statistics
 import sys
 import tempfile
 
 import fire
 
+from bench import results
 from jujubeyard import context
 from jujubeyard.load import generator
 from jujubeyard.output import tables
@@ -183,10 +182,8 @@
     tables.write_table(env, _make_rows(found))
     tables.write_lines(env, [""])
     tables.write_table(env, _make_rows(keyed))
-    path = pathlib.Path(out)
-    path.parent.mkdir(parents=True, exist_ok=True)
     document = {"pooled": found, "keyed": keyed}
-    path.write_text(json.dumps(document, indent=1), encoding="utf-8")
+    results.write_json(out, document)
 
 
 def _make_rows(found: dict[str, list[dict]]) -> list[dict]:
@@ -195,10 +192,8 @@
         row = {"mode": name}
         for figure in samples[0]:
             values = [sample[figure] for sample in samples]
-            row[figure + UNITS.get(figure.split()[0], "")] = (
-                f"{statistics.median(values):.1f} "
-                f"({min(values):.1f} to {max(values):.1f})"
-            )
+            unit = UNITS.get(figure.split()[0], "")
+            row[figure + unit] = results.spread(values, ".1f")
         rows.append(row)
     return rows
 
--- a/tests/controller/test_controller.py
+++ b/tests/controller/test_controller.py
@@ -8,7 +8,6 @@
 
 from jujubeyard import settings
 from jujubeyard.controller import core
-from jujubeyard.link import faults
 from jujubeyard.link import link
 from jujubeyard.link import messages
 from jujubeyard.store import records
@@ -71,17 +70,13 @@
     config = records.ConfigRecord(1, manifest, [], [], {}, [])
     async with store.serving_store() as address:
         cfg = settings.ControllerSettings(
-            cluster="test",
-            vm="vm-0",
-            zone="a",
-            secret=processes.SECRET,
-            admin=processes.make_address(),
-            listen=processes.make_address(),
+            **processes.make_settings(),
             store=address,
             vm_list=address,
         )
         async with processes.serving(core.serve, cfg):
-            peer = await _dial(cfg.listen, fleet)
+            me = processes.make_identity("controller", "vm-1")
+            peer = await processes.dial(cfg.listen, me, fleet.receive)
             peer.send(messages.ConfigPush(1, config.encode()))
             tasks = [
                 asyncio.create_task(peer.run()),
@@ -93,18 +88,6 @@
             peer.close()
 
 
-async def _dial(address: str, fleet: Fleet) -> link.Link:
-    me = processes.make_identity("controller", "vm-1")
-    for _ in range(200):
-        try:
-            return await link.connect(
-                address, me, fleet.receive, faults.LinkFaults()
-            )
-        except OSError:
-            await asyncio.sleep(0.02)
-    raise TimeoutError("the controller does not listen")
-
-
 async def wait_stable(fleet: Fleet) -> None:
     version = 0
     while version == 0 or version != fleet.plan_version:
--- a/tests/entry/test_entry.py
+++ b/tests/entry/test_entry.py
@@ -73,12 +73,7 @@
         answer = make_controller_answer(manifest, fake.address)
         async with processes.FakePeer("controller", answer) as controller:
             cfg = settings.EntrySettings(
-                cluster="test",
-                vm="vm-0",
-                zone="a",
-                secret=processes.SECRET,
-                admin=processes.make_address(),
-                listen=processes.make_address(),
+                **processes.make_settings(),
                 controllers=[controller.address],
                 max_body_bytes=max_body,
             )
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -10,7 +10,6 @@
 from jujubeyard import codes
 from jujubeyard import settings
 from jujubeyard.gate import core
-from jujubeyard.link import faults
 from jujubeyard.link import link
 from jujubeyard.link import messages
 from jujubeyard.load import generator
@@ -116,17 +115,13 @@
         fake = processes.FakePeer("controller", controller.answer)
         await stack.enter_async_context(fake)
         cfg = settings.GateSettings(
-            cluster="test",
-            vm="vm-0",
-            zone="a",
-            secret=processes.SECRET,
-            admin=processes.make_address(),
-            listen=processes.make_address(),
+            **processes.make_settings(),
             controllers=[fake.address],
             shutdown_seconds=0.0,
         )
         await stack.enter_async_context(processes.serving(core.serve, cfg))
-        opened = await _dial(cfg.listen)
+        me = processes.make_identity("entry")
+        opened = await processes.dial(cfg.listen, me, lambda *_: None)
         running = asyncio.create_task(opened.run())
         await processes.wait_for(
             lambda: (
@@ -139,20 +134,6 @@
         await running
 
 
-async def _dial(address: str) -> link.Link:
-    for _ in range(200):
-        try:
-            return await link.connect(
-                address,
-                processes.make_identity("entry"),
-                lambda *_: None,
-                faults.LinkFaults(),
-            )
-        except OSError:
-            await asyncio.sleep(0.02)
-    raise TimeoutError("the gate does not listen")
-
-
 def make_uuid7(seconds_ago: float) -> str:
     value = uuid.UUID(generator.make_request_id()).int
     milliseconds = int((time.time() - seconds_ago) * 1000)
--- a/tests/utils/processes.py
+++ b/tests/utils/processes.py
@@ -19,6 +19,10 @@
 PORT = 7000
 FIRST_OCTET = 150
 LAST_OCTETS = 250
+DIALS = 200
+DIAL_SECONDS = 0.02
+"""Between two tries to dial."""
+
 _numbers = itertools.count(1)
 
 
@@ -43,6 +47,34 @@
     return context.Environment(io.StringIO(), io.StringIO())
 
 
+def make_settings() -> dict:
+    """Returns the settings that processes of every role have."""
+    return {
+        "cluster": "test",
+        "vm": "vm-0",
+        "zone": "a",
+        "secret": SECRET,
+        "admin": make_address(),
+        "listen": make_address(),
+    }
+
+
+async def dial(
+    address: str, me: identity.Identity, handler: link.Handler
+) -> link.Link:
+    """Opens a link to a process that is starting.
+
+    Raises:
+        TimeoutError: It does not listen.
+    """
+    for _ in range(DIALS):
+        try:
+            return await link.connect(address, me, handler, faults.LinkFaults())
+        except OSError:
+            await asyncio.sleep(DIAL_SECONDS)
+    raise TimeoutError(f"nobody listens on {address}")
+
+
 class FakePeer:
     """A gate or a controller whose answers the test scripts.
 
