--- a/src/jujubeyard/cli/core.py
+++ b/src/jujubeyard/cli/core.py
@@ -5,7 +5,7 @@
 from jujubeyard import context
 from jujubeyard import status
 from jujubeyard.cli import commands
-from jujubeyard.internal import process
+from jujubeyard.internal import command
 
 PROGRAM = "jujubeyard"
 
@@ -16,4 +16,4 @@
     """Runs one command."""
     args = sys.argv[1:] if args is None else args
     env = env or context.Environment(colours=sys.stdout.isatty())
-    return process.run_command(PROGRAM, commands.Commands(env), args, env)
+    return command.run_command(PROGRAM, commands.Commands(env), args, env)
--- a/src/jujubeyard/codes.py
+++ b/src/jujubeyard/codes.py
@@ -20,6 +20,7 @@
     MISSING_REQUEST_ID = 204
     BODY_TOO_LARGE = 205
     BAD_REQUEST_ID = 206
+    UNKNOWN_ROUTE = 207
     DEADLINE_PAST = 210
     DEADLINE_UNREACHABLE = 211
     OVERLOADED = 212
@@ -84,6 +85,9 @@
     ResultCode.BAD_REQUEST_ID: CodeInfo(
         400, True, "The request id is no UUID of version 7, or of the future."
     ),
+    ResultCode.UNKNOWN_ROUTE: CodeInfo(
+        404, True, "No route matches the host and path."
+    ),
     ResultCode.DEADLINE_PAST: CodeInfo(
         504, True, "The deadline had passed before the call was sent."
     ),
--- a/src/jujubeyard/errors.py
+++ b/src/jujubeyard/errors.py
@@ -61,3 +61,7 @@
     def __init__(self, code: codes.ResultCode, message: str):
         super().__init__(message)
         self.code = code
+
+
+class FormatError(JujubeyardError):
+    """A document from outside is malformed."""
--- /dev/null
+++ b/src/jujubeyard/node/__init__.py
@@ -0,0 +1,1 @@
+"""The program on every VM that routes calls to targets."""
--- /dev/null
+++ b/src/jujubeyard/node/__main__.py
@@ -0,0 +1,14 @@
+"""Entry point of the program."""
+
+import sys
+
+from jujubeyard.node import core
+
+
+def main() -> int:
+    """Runs the program and returns its exit status."""
+    return int(core.main())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/jujubeyard/node/core.py
@@ -0,0 +1,219 @@
+"""Starts a node, runs it until SIGTERM, and lets it leave."""
+
+import asyncio
+import collections.abc
+import gc
+import pathlib
+import signal
+import sys
+import time
+
+from jujubeyard import context
+from jujubeyard import errors
+from jujubeyard import status
+from jujubeyard.internal import command
+from jujubeyard.node import forward
+from jujubeyard.node import journal
+from jujubeyard.node import metrics
+from jujubeyard.node import server
+from jujubeyard.node import settings
+from jujubeyard.node import tasks
+from jujubeyard.node import upstream
+from jujubeyard.node import view
+from jujubeyard.ownership import keeper
+from jujubeyard.ownership import leader
+from jujubeyard.platform import changes
+from jujubeyard.platform import documents
+from jujubeyard.platform import headers
+from jujubeyard.platform import orders
+from jujubeyard.platform import store
+from jujubeyard.store import mirror
+
+PROGRAM = "jujubeyard-node"
+GARBAGE_THRESHOLD = 20_000
+STORE_CALL_SECONDS = 0.5
+WATCH_SLACK_SECONDS = 0.8
+ROTATION_SECONDS = 2.3
+"""Time in which the balancer notices that the node isn't ready."""
+
+QUIET_SECONDS = 0.3
+END_MARGIN_SECONDS = 0.5
+LEAVING_TICK_SECONDS = 0.05
+HOUSEKEEPING_SECONDS = 5.0
+
+
+def main(
+    args: list[str] | None = None, env: context.Environment | None = None
+) -> status.ExitStatus:
+    """Runs the program."""
+    env = env or context.Environment()
+
+    def serve(settings_file: str, check: bool = False) -> status.ExitStatus:
+        """Serves until SIGTERM.
+
+        Args:
+            settings_file: Path of the TOML settings file.
+            check: Only check the settings, then exit.
+        """
+        path = env.config_dir / pathlib.Path(str(settings_file))
+        cfg = settings.read(path)
+        if not check:
+            asyncio.run(_serve(cfg, path, env))
+        return status.ExitStatus.SUCCESS
+
+    args = sys.argv[1:] if args is None else args
+    return command.run_command(PROGRAM, serve, args, env)
+
+
+async def _serve(
+    cfg: settings.NodeSettings, path: pathlib.Path, env: context.Environment
+) -> None:
+    gc.freeze()
+    gc.set_threshold(GARBAGE_THRESHOLD)
+    stop = asyncio.Event()
+    output = journal.Output(env.stdout.fileno())
+    notes = journal.Journal(output, cfg.node)
+    node = Node(cfg, notes)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path, notes)
+    notes.note("start", zone=cfg.zone, listen=str(cfg.listen))
+    await node.start()
+    await stop.wait()
+    notes.note("leaving", active=node.active_calls())
+    await node.leave()
+    notes.note("stop", active=node.active_calls(), dropped=output.dropped)
+    output.flush()
+
+
+def _reload(path: pathlib.Path, notes: journal.Journal) -> None:
+    """Reads the settings again; what is bound at the start stays."""
+    try:
+        settings.read(path)
+    except errors.SettingsError as exc:
+        notes.note("settings not reloaded", detail=exc.message)
+        return
+    notes.note("settings reloaded")
+
+
+class Node:
+    """The parts of a node, put together."""
+
+    def __init__(self, cfg: settings.NodeSettings, notes: journal.Journal):
+        self._cfg = cfg
+        self._notes = notes
+        self._metrics = metrics.Metrics()
+        names = headers.NAMES
+        self._view = view.View(
+            changes.OWN_PREFIX, changes.read_change, changes.removed_by, notes
+        )
+        self._store_session = upstream.make_session(names, force_close=False)
+        self._order_session = upstream.make_session(names, force_close=False)
+        self._store = store.PlatformStore(
+            str(cfg.store),
+            self._store_session,
+            STORE_CALL_SECONDS,
+            WATCH_SLACK_SECONDS,
+        )
+        self._leadership = leader.Leadership(
+            self._store, changes.OWN_PREFIX, cfg.node, notes
+        )
+        self._view.follow_leader(self._leadership)
+        self._presence = tasks.Presence(
+            self._store, self._view.node_key(cfg.node), cfg.node, notes
+        )
+        courier = keeper.Courier(
+            self._store,
+            self._order_session,
+            orders.Speech(self._health_path),
+            self._view.table_key,
+            self._view.take_table,
+            notes,
+        )
+        self._key_keeping = tasks.KeyKeeping(
+            self._leadership, self._view, courier, cfg.limits.max_hold
+        )
+        self._mirror = mirror.Mirror(self._store, self._view)
+        self._upstreams = upstream.Upstreams(names)
+        self._forwarder = forward.Forwarder(
+            cfg,
+            self._view,
+            self._upstreams,
+            names,
+            documents.read_load,
+            self._metrics,
+            notes,
+        )
+        self._server = server.CallerServer(self._forwarder.serve, names)
+        self._tasks: list[asyncio.Task] = []
+        self._is_leaving = False
+
+    def is_ready(self) -> bool:
+        """Returns whether callers should be sent here."""
+        return not self._is_leaving and self._view.routes is not None
+
+    def active_calls(self) -> int:
+        """Returns the number of calls that are being served."""
+        return self._server.active
+
+    async def start(self) -> None:
+        """Starts to serve."""
+        cfg = self._cfg
+        await self._server.start(cfg.listen)
+        readiness = server.ReadinessServer(
+            headers.READINESS_PATH, self.is_ready
+        )
+        await readiness.start(cfg.readiness)
+        await server.MetricsServer(self._metrics.render).start(cfg.metrics)
+        for run in (
+            self._mirror.run,
+            self._leadership.run,
+            self._presence.run,
+            self._key_keeping.run,
+            self._keep_house,
+        ):
+            self._start(run)
+
+    async def leave(self) -> None:
+        """Serves what has been read, then ends, within the time allowed."""
+        began = time.monotonic()
+        self._is_leaving = True
+        self._server.is_leaving = True
+        await asyncio.gather(self._leadership.resign(), self._presence.end())
+        await asyncio.sleep(began + ROTATION_SECONDS - time.monotonic())
+        self._server.close_idle()
+        end = began + self._cfg.limits.shutdown - END_MARGIN_SECONDS
+        quiet_since = time.monotonic()
+        while time.monotonic() < end:
+            if self._server.active:
+                quiet_since = time.monotonic()
+            if time.monotonic() - quiet_since > QUIET_SECONDS:
+                return
+            await asyncio.sleep(LEAVING_TICK_SECONDS)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_SECONDS)
+            self._view.registry.forget_old(time.monotonic())
+            self._forwarder.forget()
+
+    def _start(
+        self,
+        run: collections.abc.Callable[
+            [], collections.abc.Coroutine[None, None, None]
+        ],
+    ) -> None:
+        task = asyncio.get_running_loop().create_task(run())
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _note_end(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._notes.note("task failed", detail=repr(task.exception()))
+
+    def _health_path(self, service: str) -> str:
+        if self._view.routes is None:
+            return "/"
+        found = self._view.routes.configuration.services.get(service)
+        return found.health_path if found else "/"
--- /dev/null
+++ b/src/jujubeyard/node/metrics.py
@@ -0,0 +1,72 @@
+"""Counters and latencies of a node."""
+
+import prometheus_client
+
+from jujubeyard import codes
+from jujubeyard.internal import counters
+
+LATENCY_BUCKETS_SECONDS = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.4,
+    0.6,
+    0.8,
+    1.2,
+    2.0,
+    4.0,
+)
+
+
+class Metrics:
+    """The metrics of one process.
+
+    Attributes:
+        registry: All of them.
+    """
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self._calls = counters.Labelled(
+            prometheus_client.Counter(
+                "jujubeyard_calls",
+                "Calls by service and result code.",
+                ["service", "code"],
+                registry=self.registry,
+            )
+        )
+        self._seconds = counters.Labelled(
+            prometheus_client.Histogram(
+                "jujubeyard_call_seconds",
+                "Time from reading a call to its answer.",
+                ["service"],
+                buckets=LATENCY_BUCKETS_SECONDS,
+                registry=self.registry,
+            )
+        )
+        self._attempts = counters.Labelled(
+            prometheus_client.Counter(
+                "jujubeyard_attempts",
+                "Calls sent to targets by service and outcome.",
+                ["service", "outcome"],
+                registry=self.registry,
+            )
+        )
+
+    def count_call(
+        self, service: str, code: codes.ResultCode, seconds: float
+    ) -> None:
+        """Counts an answered call."""
+        self._calls.child(service, code.name).inc()
+        self._seconds.child(service).observe(seconds)
+
+    def count_attempt(self, service: str, outcome: str) -> None:
+        """Counts a call that was sent to a target."""
+        self._attempts.child(service, outcome).inc()
+
+    def render(self) -> bytes:
+        """Returns all metrics as text."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/src/jujubeyard/node/view.py
@@ -0,0 +1,217 @@
+"""What a node knows: configuration, targets, owners of keys, other nodes."""
+
+import asyncio
+import collections.abc
+import functools
+import time
+
+from jujubeyard import errors
+from jujubeyard.node import journal
+from jujubeyard.ownership import leader
+from jujubeyard.ownership import table
+from jujubeyard.routing import match
+from jujubeyard.store import changes
+from jujubeyard.store import ports
+from jujubeyard.targets import registry
+
+TABLES = "shards/"
+NODES = "nodes/"
+
+Decoder = collections.abc.Callable[[ports.Item], changes.Change]
+
+
+class View:
+    """The listener of the store's mirror.
+
+    Attributes:
+        routes: Routes in force; None until a configuration is known.
+        registry: Targets.
+        tables: Owners of keys by service.
+        nodes: Names of the nodes that are listed.
+        store_answers: Whether the store answered latest.
+    """
+
+    def __init__(
+        self,
+        prefix: str,
+        decode: Decoder,
+        decode_malformed: collections.abc.Callable[[str], changes.Change],
+        notes: journal.Journal,
+    ):
+        """Makes an empty view.
+
+        Args:
+            prefix: Prefix of the router's own keys.
+            decode: Says what an item means.
+            decode_malformed: Says what the key of a malformed item means.
+            notes: Where changes are written.
+        """
+        self._prefix = prefix
+        self._decode = decode
+        self._decode_malformed = decode_malformed
+        self._notes = notes
+        self._leadership: leader.Leadership | None = None
+        self._tables_changed = asyncio.Event()
+        self.routes: match.RouteTable | None = None
+        self.registry = registry.Registry()
+        self.tables: dict[str, table.ShardTable] = {}
+        self.nodes: set[str] = set()
+        self.store_answers = False
+
+    def follow_leader(self, leadership: leader.Leadership) -> None:
+        """Tells a leadership of changes of the leader's item."""
+        self._leadership = leadership
+
+    def node_count(self) -> int:
+        """Returns the number of nodes that are known, at least one."""
+        return max(1, len(self.nodes))
+
+    def table_key(self, service: str) -> str:
+        """Returns the key of a service's table."""
+        return f"{self._prefix}{TABLES}{service}"
+
+    def node_key(self, node: str) -> str:
+        """Returns the key under which a node is listed."""
+        return f"{self._prefix}{NODES}{node}"
+
+    async def wait_for_tables(self, seconds: float) -> None:
+        """Waits until a table changes, for a limited time."""
+        try:
+            await asyncio.wait_for(self._tables_changed.wait(), seconds)
+        except TimeoutError:
+            return
+
+    def take_table(self, found: table.ShardTable) -> None:
+        """Takes a table if it is newer than the one that is known."""
+        known = self.tables.get(found.service)
+        if known is not None and known.revision >= found.revision:
+            return
+        self.tables[found.service] = found
+        changed, self._tables_changed = self._tables_changed, asyncio.Event()
+        changed.set()
+
+    def take_all(self, items: collections.abc.Sequence[ports.Item]) -> None:
+        """Takes a full reading of the store."""
+        read = [self._read(item) for item in items]
+        now = time.monotonic()
+        listed, zones, nodes, led = set(), set(), set(), False
+        for change in read:
+            if isinstance(change, changes.TargetListed):
+                listed.add(change.listing.target_id)
+            elif isinstance(change, changes.ZoneChanged):
+                zones.add(change.zone)
+            elif isinstance(change, changes.OwnItem):
+                name = change.item.key.removeprefix(self._prefix)
+                led = led or name == leader.LEADER_KEY
+                if name.startswith(NODES):
+                    nodes.add(name.removeprefix(NODES))
+        self.registry.keep_only(listed, now)
+        for zone in self.registry.evacuated.keys() - zones:
+            self.registry.set_evacuated(zone, False, now)
+        self.nodes = nodes
+        for change in read:
+            self._apply(change)
+        if not led and self._leadership is not None:
+            self._leadership.observe_absence()
+
+    def take_changes(self, items: collections.abc.Sequence[ports.Item]) -> None:
+        """Takes what has changed in the store."""
+        for item in items:
+            self._apply(self._read(item))
+
+    def note_outage(self, failure: ports.Failure) -> None:
+        """Learns that the store did not answer."""
+        self.registry.note_outage(time.monotonic())
+        if self.store_answers:
+            self._notes.note("store lost", detail=failure.detail)
+        self.store_answers = False
+
+    def note_answer(self) -> None:
+        """Learns that the store answers."""
+        if not self.store_answers:
+            self._notes.note("store regained")
+        self.store_answers = True
+
+    def _read(self, item: ports.Item) -> changes.Change:
+        try:
+            return self._decode(item)
+        except errors.FormatError as exc:
+            self._notes.note(
+                "item passed over", key=item.key, detail=exc.message
+            )
+            return self._decode_malformed(item.key)
+
+    @functools.singledispatchmethod
+    def _apply(self, change: changes.Change) -> None:
+        raise TypeError(f"no such change: {change!r}")
+
+    @_apply.register
+    def _(self, change: changes.ConfigurationChanged) -> None:
+        found = change.configuration
+        known = self.routes.configuration.version if self.routes else -1
+        if found.version <= known:
+            return
+        self.routes = match.RouteTable(found)
+        self._notes.note(
+            "configuration in force", version=found.version, before=known
+        )
+
+    @_apply.register
+    def _(self, change: changes.ZoneChanged) -> None:
+        now = time.monotonic()
+        self.registry.set_evacuated(change.zone, change.evacuated, now)
+        self._notes.note(
+            "zone evacuated" if change.evacuated else "zone taken back",
+            zone=change.zone,
+        )
+
+    @_apply.register
+    def _(self, change: changes.TargetListed) -> None:
+        now = time.monotonic()
+        known = self.registry.targets.get(change.listing.target_id)
+        reborn = self.registry.put(change.listing, now)
+        if known is None or reborn or known.listing != change.listing:
+            self._notes.note(
+                "target listed",
+                target=change.listing.target_id,
+                service=change.listing.service,
+                address=change.listing.address,
+                draining=change.listing.draining,
+                cold_seconds=change.listing.cold_seconds,
+                born=change.listing.born,
+            )
+
+    @_apply.register
+    def _(self, change: changes.TargetRemoved) -> None:
+        now = time.monotonic()
+        self.registry.remove(change.target_id, now)
+        self._notes.note("target no longer listed", target=change.target_id)
+
+    @_apply.register
+    def _(self, change: changes.OwnItem) -> None:
+        item = change.item
+        name = item.key.removeprefix(self._prefix)
+        if name == leader.LEADER_KEY and self._leadership is not None:
+            self._leadership.observe(item)
+        elif name.startswith(NODES):
+            self._apply_node(name.removeprefix(NODES), item)
+        elif name.startswith(TABLES) and item.value is not None:
+            self._apply_table(name.removeprefix(TABLES), item)
+
+    @_apply.register
+    def _(self, change: changes.Foreign) -> None:
+        self._notes.note("item means nothing", key=change.key)
+
+    def _apply_node(self, name: str, item: ports.Item) -> None:
+        if item.value is None:
+            self.nodes.discard(name)
+        else:
+            self.nodes.add(name)
+
+    def _apply_table(self, service: str, item: ports.Item) -> None:
+        try:
+            found = table.decode(service, item.value, item.revision)
+        except errors.FormatError as exc:
+            self._notes.note("table passed over", detail=exc.message)
+            return
+        self.take_table(found)
--- /dev/null
+++ b/src/jujubeyard/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Which target owns which keys, decided and carried out by one leader."""
--- /dev/null
+++ b/src/jujubeyard/ownership/keeper.py
@@ -0,0 +1,484 @@
+"""Keeps each key with one owner, on the node that leads.
+
+Decisions are those of `planner`; this module carries them out: orders to
+targets, waits until what they may hold has run out, and the stored tables.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import typing
+
+import aiohttp
+
+from jujubeyard import clock
+from jujubeyard.ownership import leader
+from jujubeyard.ownership import orders
+from jujubeyard.ownership import planner
+from jujubeyard.ownership import table
+from jujubeyard.store import ports
+
+HOLD_SECONDS = 4.0
+"""Length of a grant while the store answers."""
+
+RENEW_SECONDS = 1.0
+ORDER_SECONDS = 0.7
+SLOW_CLOCK = 1.02
+"""How much longer a target's clock may measure a grant."""
+
+HOLD_MARGIN_SECONDS = 0.1
+SETTLE_SECONDS = 0.6
+"""How long no target must have joined before the first table is made."""
+
+SILENT_SECONDS = 1.0
+"""How long an owner must be silent before its shards move."""
+
+PROBE_SECONDS = 0.4
+MIN_RELEASE_SECONDS = 0.3
+WRITE_PAUSE_SECONDS = 0.3
+"""Pause after a write that did not succeed."""
+
+
+@dataclasses.dataclass(slots=True)
+class Hold:
+    """What the owner of a shard may hold.
+
+    Attributes:
+        until: When the longest grant that may have been given has run out.
+        renew_at: When the next renewal is due.
+        sending: Whether a renewal is on its way.
+    """
+
+    until: float
+    renew_at: float = 0.0
+    sending: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Freed:
+    """A shard that nobody holds any more.
+
+    Attributes:
+        move: Where it goes.
+        handover: What its next owner needs; may be empty.
+        is_pinned: Whether it must stay with the owner that it has.
+    """
+
+    move: planner.Move
+    handover: str
+    is_pinned: bool = False
+
+
+class Surroundings(typing.Protocol):
+    """What a keeper asks of the node that it runs on."""
+
+    def candidates(self, service: str) -> list[planner.Candidate]:
+        """Returns the targets that may own keys."""
+
+    def joined_at(self, service: str) -> float:
+        """Returns when the latest target joined, in boot time."""
+
+    def is_ended(self, owner: table.Owner) -> bool:
+        """Returns whether that life of the target has certainly ended."""
+
+    def shard_loads(self, found: table.ShardTable) -> list[float]:
+        """Returns the estimated load of each shard."""
+
+    def observe_reply(self, owner: table.Owner, reply: orders.Reply) -> None:
+        """Takes what a reply to an order shows of a target."""
+
+    def may_balance(self, service: str) -> bool:
+        """Returns whether loads are known well enough to move shards."""
+
+
+class Keeper:
+    """Owns the table of one service during one term of leadership."""
+
+    def __init__(
+        self,
+        service: str,
+        leadership: leader.Leadership,
+        surroundings: Surroundings,
+        courier: "Courier",
+        max_hold_seconds: float,
+    ):
+        self.service = service
+        self._leadership = leadership
+        self._around = surroundings
+        self._courier = courier
+        self._max_hold_seconds = max_hold_seconds
+        self._table: table.ShardTable | None = None
+        self._holds: list[Hold] = []
+        self._moving: set[int] = set()
+        self._freed: dict[int, Freed] = {}
+        self._silent: dict[table.Owner, float] = {}
+        self._ended: set[table.Owner] = set()
+        self._writing = False
+        self._write_at = 0.0
+        self._stopped = False
+        self._tasks: set[asyncio.Task] = set()
+
+    def stop(self) -> None:
+        """Ends the term: no further order is given."""
+        self._stopped = True
+        for task in self._tasks:
+            task.cancel()
+
+    def load(self, found: table.ShardTable) -> None:
+        """Takes the table that the term begins with."""
+        self._table = found
+        longest = self._hold_end(self._leadership.won_at, self._max_hold())
+        self._holds = [Hold(longest) for _ in found.shards]
+
+    def tick(self, now: float) -> None:
+        """Gives the orders that are due.
+
+        Args:
+            now: Boot time, in seconds.
+        """
+        if self._table is None or not self._leadership.is_certain():
+            return
+        candidates = [
+            candidate
+            for candidate in self._around.candidates(self.service)
+            if not self._is_silent(candidate.owner, now)
+            and candidate.owner not in self._ended
+        ]
+        if not self._table.shards:
+            self._place_all(candidates, now)
+            return
+        self._begin_moves(candidates, now)
+        self._write_freed(candidates)
+        self._renew(now)
+
+    def _place_all(self, candidates, now: float) -> None:
+        settled = now - self._around.joined_at(self.service) > SETTLE_SECONDS
+        if not candidates or not settled or not self._may_write():
+            return
+        fence = self._leadership.draw_fence()
+        self._start(self._write(planner.place_all(candidates, fence), {}))
+
+    def _begin_moves(self, candidates, now: float) -> None:
+        moves = planner.choose_moves(
+            self._table.shards,
+            self._around.shard_loads(self._table),
+            candidates,
+            self._moving,
+            self._around.may_balance(self.service),
+        )
+        for move in moves:
+            self._moving.add(move.index)
+            self._start(self._free(move, now))
+
+    async def _free(self, move: planner.Move, now: float) -> None:
+        shard = self._table.shards[move.index]
+        hold = self._holds[move.index]
+        handover = ""
+        if not self._has_ended(shard.owner):
+            handover = await self._release(shard, hold, now)
+        self._courier.note(
+            "shard freed",
+            service=self.service,
+            first=shard.first,
+            owner=shard.owner.target_id,
+            fence=shard.fence,
+            to=move.to.target_id,
+            reason=move.reason,
+            handover=bool(handover),
+            waited=round(clock.boottime() - now, 3),
+        )
+        self._freed[move.index] = Freed(move, handover)
+
+    async def _release(self, shard: table.Shard, hold: Hold, now: float) -> str:
+        """Returns the handover once nobody can hold the shard any more."""
+        fence = self._leadership.draw_fence()
+        order = orders.Release(shard.owner, shard.first, shard.last, fence)
+        while not self._has_ended(shard.owner):
+            left = hold.until - clock.boottime()
+            if left <= 0.0:
+                return ""
+            if not self._leadership.is_certain():
+                await asyncio.sleep(PROBE_SECONDS)
+                continue
+            seconds = max(left, MIN_RELEASE_SECONDS)
+            outcome = await self._courier.release(order, seconds)
+            if outcome.outcome is orders.Outcome.DONE:
+                return outcome.reply.handover
+            if outcome.outcome is orders.Outcome.GONE:
+                self._ended.add(shard.owner)
+                return ""
+            await asyncio.sleep(min(PROBE_SECONDS, max(left, 0.01)))
+        return ""
+
+    def _write_freed(self, candidates) -> None:
+        if not self._freed or not candidates or not self._may_write():
+            return
+        owners = {candidate.owner for candidate in candidates}
+        shards = list(self._table.shards)
+        freed, self._freed = self._freed, {}
+        for index, entry in freed.items():
+            to = entry.move.to
+            if to not in owners and not entry.is_pinned:
+                to = self._least(candidates)
+            shards[index] = dataclasses.replace(
+                shards[index],
+                owner=to,
+                fence=self._leadership.draw_fence(),
+                handover=entry.handover,
+            )
+        self._start(self._write(tuple(shards), freed))
+
+    def _least(self, candidates) -> table.Owner:
+        given = dict.fromkeys((c.owner for c in candidates), 0)
+        for shard in self._table.shards:
+            if shard.owner in given:
+                given[shard.owner] += 1
+        return min(given, key=given.__getitem__)
+
+    def _may_write(self) -> bool:
+        return not self._writing and clock.boottime() >= self._write_at
+
+    async def _write(
+        self,
+        shards: tuple[table.Shard, ...],
+        freed: collections.abc.Mapping[int, Freed],
+    ) -> None:
+        self._writing = True
+        try:
+            outcome = await self._courier.write_table(
+                table.ShardTable(self.service, shards, self._table.revision),
+                self._leadership.condition(),
+            )
+        finally:
+            self._writing = False
+        if outcome.stored is not None:
+            self._adopt(outcome.stored)
+        if not outcome.is_written:
+            self._write_at = clock.boottime() + WRITE_PAUSE_SECONDS
+            for index, entry in freed.items():
+                self._freed.setdefault(index, entry)
+            return
+        for index in freed:
+            self._holds[index] = Hold(0.0)
+            self._moving.discard(index)
+
+    def _adopt(self, stored: table.ShardTable) -> None:
+        """Takes a table that the store holds, as written by this term."""
+        missing = len(stored.shards) - len(self._holds)
+        self._holds += [Hold(0.0) for _ in range(missing)]
+        self._table = stored
+
+    def _renew(self, now: float) -> None:
+        if self._writing:
+            return
+        for index, shard in enumerate(self._table.shards):
+            hold = self._holds[index]
+            if hold.sending or hold.renew_at > now or index in self._moving:
+                continue
+            if shard.owner in self._silent or shard.owner in self._ended:
+                continue
+            hold.sending = True
+            self._start(self._grant(index, shard, hold))
+
+    async def _grant(self, index: int, shard: table.Shard, hold: Hold) -> None:
+        try:
+            await self._grant_once(index, shard, hold)
+        finally:
+            hold.sending = False
+
+    async def _grant_once(self, index, shard: table.Shard, hold: Hold) -> None:
+        seconds = HOLD_SECONDS
+        if self._leadership.renewal_failed:
+            seconds = self._max_hold()
+        now = clock.boottime()
+        if not self._leadership.is_certain() or index in self._moving:
+            return
+        hold.until = max(hold.until, self._hold_end(now, seconds))
+        hold.renew_at = now + RENEW_SECONDS
+        grant = orders.Grant(
+            shard.owner,
+            shard.first,
+            shard.last,
+            shard.fence,
+            seconds,
+            shard.handover,
+        )
+        outcome = await self._courier.grant(grant, ORDER_SECONDS)
+        if self._stopped:
+            return
+        self._judge_grant(index, shard, outcome)
+
+    def _judge_grant(self, index, shard, outcome: orders.Result) -> None:
+        if outcome.reply is not None:
+            self._around.observe_reply(shard.owner, outcome.reply)
+        if outcome.outcome is orders.Outcome.DONE:
+            self._silent.pop(shard.owner, None)
+            return
+        self._courier.note(
+            "grant not taken",
+            service=self.service,
+            first=shard.first,
+            owner=shard.owner.target_id,
+            fence=shard.fence,
+            outcome=outcome.outcome.value,
+            detail=outcome.detail,
+        )
+        if outcome.outcome is orders.Outcome.GONE:
+            self._ended.add(shard.owner)
+        elif outcome.outcome is orders.Outcome.FENCED:
+            self._begin_refence(index, shard)
+        elif shard.owner not in self._silent:
+            self._silent[shard.owner] = clock.boottime()
+            self._start(self._probe(shard.owner))
+
+    def _begin_refence(self, index: int, shard: table.Shard) -> None:
+        """Gives a shard to its owner again, under a higher fence."""
+        if index in self._moving:
+            return
+        self._moving.add(index)
+        move = planner.Move(index, shard.owner, "a higher fence was seen")
+        self._freed[index] = Freed(move, "", is_pinned=True)
+
+    async def _probe(self, owner: table.Owner) -> None:
+        while owner in self._silent and not self._stopped:
+            await asyncio.sleep(PROBE_SECONDS)
+            outcome = await self._courier.probe(self.service, owner)
+            if outcome is orders.Outcome.DONE:
+                self._silent.pop(owner, None)
+            elif outcome is orders.Outcome.GONE:
+                self._ended.add(owner)
+                return
+
+    def _is_silent(self, owner: table.Owner, now: float) -> bool:
+        since = self._silent.get(owner)
+        return since is not None and now - since > SILENT_SECONDS
+
+    def _has_ended(self, owner: table.Owner) -> bool:
+        return owner in self._ended or self._around.is_ended(owner)
+
+    def _max_hold(self) -> float:
+        return self._max_hold_seconds
+
+    def _hold_end(self, sent: float, seconds: float) -> float:
+        longest = ORDER_SECONDS + seconds * SLOW_CLOCK
+        return sent + longest + HOLD_MARGIN_SECONDS
+
+    def _start(self, coro: collections.abc.Coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._courier.note("keeper failed", detail=repr(task.exception()))
+
+
+class Courier:
+    """Carries a keeper's orders to targets and its tables to the store."""
+
+    def __init__(
+        self,
+        store: ports.Store,
+        session: aiohttp.ClientSession,
+        speak: "Speech",
+        table_key: collections.abc.Callable[[str], str],
+        take_table: collections.abc.Callable[[table.ShardTable], None],
+        journal: leader.Journal,
+    ):
+        self._store = store
+        self._session = session
+        self._speak = speak
+        self._table_key = table_key
+        self._take_table = take_table
+        self._journal = journal
+
+    def note(self, event: str, **fields) -> None:
+        """Writes a decision."""
+        self._journal.note(event, **fields)
+
+    async def grant(self, order: orders.Grant, seconds: float) -> orders.Result:
+        """Grants keys, or renews the grant."""
+        return await orders.carry_out(
+            self._speak.grant, self._session, order, seconds
+        )
+
+    async def release(
+        self, order: orders.Release, seconds: float
+    ) -> orders.Result:
+        """Takes keys back; the answer waits for work that runs on them."""
+        return await orders.carry_out(
+            self._speak.release, self._session, order, seconds
+        )
+
+    async def probe(self, service: str, owner: table.Owner) -> orders.Outcome:
+        """Asks whether a target is up."""
+        return await self._speak.probe(self._session, service, owner)
+
+    async def read_table(self, service: str) -> table.ShardTable | None:
+        """Returns the stored table, or None if the store didn't answer."""
+        found = await self._store.read(self._table_key(service))
+        if found.is_err():
+            return None
+        item = found.ok_value
+        if item is None:
+            return table.ShardTable(service, (), 0)
+        return table.decode(service, item.value, item.revision)
+
+    async def write_table(
+        self, wanted: table.ShardTable, leading: ports.Condition
+    ) -> "Written":
+        """Replaces a stored table.
+
+        A write without an answer, or one that met another table, is settled
+        by reading the table back: a write of this term that was lost may have
+        been done late.
+        """
+        key = self._table_key(wanted.service)
+        body = table.encode(wanted.shards)
+        conditions = [leading, ports.Condition(key, wanted.revision)]
+        outcome = await self._store.write(conditions, [ports.Put(key, body)])
+        if outcome.is_ok():
+            written = table.ShardTable(
+                wanted.service, wanted.shards, outcome.ok_value
+            )
+            self._take_table(written)
+            return Written(True, written)
+        self.note(
+            "table not written",
+            service=wanted.service,
+            revision=wanted.revision,
+            detail=outcome.err_value.detail,
+        )
+        if outcome.err_value.kind is ports.FailureKind.NOT_DONE:
+            return Written(False, None)
+        found = await self.read_table(wanted.service)
+        if found is None:
+            return Written(False, None)
+        self._take_table(found)
+        return Written(found.shards == wanted.shards, found)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Written:
+    """How a write of a table ended.
+
+    Attributes:
+        is_written: Whether the store holds what was to be written.
+        stored: The table that the store holds, if that is known.
+    """
+
+    is_written: bool
+    stored: table.ShardTable | None
+
+
+class Speech(typing.Protocol):
+    """The targets' protocol for orders."""
+
+    grant: orders.Sender
+    release: orders.Sender
+
+    async def probe(
+        self, session: aiohttp.ClientSession, service: str, owner: table.Owner
+    ) -> orders.Outcome:
+        """Asks whether a target is up."""
--- /dev/null
+++ b/src/jujubeyard/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the platform of the users: translation and nothing else."""
--- /dev/null
+++ b/src/jujubeyard/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration of routes and the choices made with it."""
--- /dev/null
+++ b/src/jujubeyard/routing/coldstart.py
@@ -0,0 +1,88 @@
+"""Keeps the calls of all nodes to a cold target within what it bears.
+
+No node counts for the others. Some nodes sponsor a cold target: only they
+send to it, each at most one call in each pause. Old and new sponsors together
+stay within the bound while nodes join and leave.
+"""
+
+import collections.abc
+import dataclasses
+
+import xxhash
+
+CALM_PAUSE_SECONDS = 1.15
+"""Pause between two calls of a sponsor: a second and the jitter of a link."""
+
+CHANGE_MARGIN = 2.0
+"""Sponsors before and after a change of the list of nodes may both send."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdBound:
+    """What a cold target bears in any one second.
+
+    Attributes:
+        factor: Multiple of the rate of its service.
+        slack: Calls beyond it.
+    """
+
+    factor: float
+    slack: float
+
+    def per_second(self, rate: float) -> float:
+        """Returns the largest number of calls in one second."""
+        return rate * self.factor + self.slack
+
+
+def choose_sponsors(
+    target_id: str, nodes: collections.abc.Iterable[str], bound: float
+) -> list[str]:
+    """Returns the nodes that may send to a cold target.
+
+    Args:
+        target_id: The target.
+        nodes: Names of all nodes.
+        bound: Calls that the target bears in one second.
+    """
+    ranked = sorted(
+        nodes, key=lambda name: xxhash.xxh3_64_intdigest(f"{target_id}/{name}")
+    )
+    return ranked[: max(1, int(bound / CHANGE_MARGIN))]
+
+
+class ColdPacer:
+    """Paces the calls of one node to cold targets."""
+
+    def __init__(self, node: str, bound: ColdBound):
+        self._node = node
+        self._bound = bound
+        self._last_sent: dict[str, float] = {}
+
+    def may_send(
+        self,
+        target_id: str,
+        rate: float,
+        nodes: collections.abc.Iterable[str],
+        now: float,
+    ) -> bool:
+        """Returns whether this node may send a call to a cold target now.
+
+        Args:
+            target_id: The target.
+            rate: Calls per second that a cold target of its service bears.
+            nodes: Names of all nodes that are known.
+            now: Monotonic time, in seconds.
+        """
+        last = self._last_sent.get(target_id)
+        if last is not None and now - last < CALM_PAUSE_SECONDS:
+            return False
+        bound = self._bound.per_second(rate)
+        return self._node in choose_sponsors(target_id, nodes, bound)
+
+    def count(self, target_id: str, now: float) -> None:
+        """Counts a call that is being sent."""
+        self._last_sent[target_id] = now
+
+    def forget(self, target_id: str) -> None:
+        """Drops a target that is gone."""
+        self._last_sent.pop(target_id, None)
--- /dev/null
+++ b/src/jujubeyard/store/changes.py
@@ -0,0 +1,60 @@
+"""Changes that a node learns from the store."""
+
+import dataclasses
+
+from jujubeyard.routing import config
+from jujubeyard.store import ports
+from jujubeyard.targets import registry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationChanged:
+    """A configuration was written."""
+
+    configuration: config.Configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneChanged:
+    """A zone's targets are to get nothing, or calls again."""
+
+    zone: str
+    evacuated: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetListed:
+    """A target told about itself."""
+
+    listing: registry.Listing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetRemoved:
+    """A target is no longer listed."""
+
+    target_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnItem:
+    """An item of the router's own was written or removed."""
+
+    item: ports.Item
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Foreign:
+    """An item that means nothing to the router."""
+
+    key: str
+
+
+Change = (
+    ConfigurationChanged
+    | ZoneChanged
+    | TargetListed
+    | TargetRemoved
+    | OwnItem
+    | Foreign
+)
--- /dev/null
+++ b/src/jujubeyard/targets/loads.py
@@ -0,0 +1,90 @@
+"""What answers show of a target's load, and what a node infers from it."""
+
+import dataclasses
+
+REPORT_HALF_LIFE_SECONDS = 0.4
+"""Age at which a report counts half."""
+
+SPEED_SMOOTHING = 0.15
+FAILURE_SMOOTHING = 0.2
+INITIAL_WORK_SECONDS = 0.15
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """A target's own word on its load.
+
+    Attributes:
+        running: Calls that run.
+        waiting: Calls that wait for a slot.
+        slots: Calls that can run at once.
+        slowness: How much longer work takes than usual; 1.0 is as usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float
+
+
+@dataclasses.dataclass(slots=True)
+class TargetLoad:
+    """A node's view of one target's load.
+
+    Attributes:
+        in_flight: This node's calls at the target.
+        report: The latest report.
+        reported_at: When it came, in monotonic seconds.
+        own_at_report: This node's calls in flight when it came.
+        work_seconds: Smoothed time of a call, without its wait for a slot.
+        failures: Smoothed share of calls that failed.
+        avoid_until: Until when the target is passed over where others exist.
+    """
+
+    in_flight: int = 0
+    report: LoadReport | None = None
+    reported_at: float = 0.0
+    own_at_report: int = 0
+    work_seconds: float = 0.0
+    failures: float = 0.0
+    avoid_until: float = 0.0
+
+    def observe_report(self, report: LoadReport, now: float) -> None:
+        """Takes the report of an answer."""
+        self.report = report
+        self.reported_at = now
+        self.own_at_report = self.in_flight
+
+    def observe_success(self, seconds: float) -> None:
+        """Takes the time of a call that succeeded."""
+        waiting = self.report.waiting if self.report else 0
+        slots = self.report.slots if self.report else 1
+        work = seconds / (1.0 + waiting / max(slots, 1))
+        if not self.work_seconds:
+            self.work_seconds = work
+        self.work_seconds += SPEED_SMOOTHING * (work - self.work_seconds)
+        self.failures -= FAILURE_SMOOTHING * self.failures
+
+    def observe_failure(self) -> None:
+        """Counts a call that failed."""
+        self.failures += FAILURE_SMOOTHING * (1.0 - self.failures)
+
+    def busy(self, now: float) -> float:
+        """Returns the estimated number of calls at the target.
+
+        The calls of other nodes are taken from the latest report, which loses
+        weight as it ages; this node's own are counted.
+        """
+        if self.report is None:
+            return float(self.in_flight)
+        age = max(0.0, now - self.reported_at)
+        weight = 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
+        reported = self.report.running + self.report.waiting
+        others = max(0, reported - 1 - self.own_at_report)
+        return self.in_flight + weight * others
+
+    def expected_seconds(self, slots: int, now: float) -> float:
+        """Returns the estimated time of one more call, in seconds."""
+        work = self.work_seconds or INITIAL_WORK_SECONDS
+        excess = max(0.0, self.busy(now) + 1 - slots)
+        return work * (1.0 + excess / max(slots, 1))
