Leave without losing what was read; watch shortly after an outage

(2) xxhash takes bytes only, so each call to a cold target failed with 500. Change: idle connections are closed one by one, calls are refused from 3 s after SIGTERM; watches are short after a call without an answer.

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import gc
+import os
 import pathlib
 import signal
 import sys
@@ -32,11 +33,13 @@
 PROGRAM = "jujubeyard-node"
 GARBAGE_THRESHOLD = 20_000
 STORE_CALL_SECONDS = 0.5
-WATCH_SLACK_SECONDS = 0.8
+WATCH_SLACK_SECONDS = 0.6
 ROTATION_SECONDS = 2.3
 """Time in which the balancer notices that the node isn't ready."""
 
-QUIET_SECONDS = 0.3
+REFUSAL_SECONDS = 3.0
+"""Time after which a leaving node refuses what it may not finish."""
+
 END_MARGIN_SECONDS = 0.5
 LEAVING_TICK_SECONDS = 0.05
 HOUSEKEEPING_SECONDS = 5.0
@@ -73,6 +76,7 @@
     stop = asyncio.Event()
     output = journal.Output(env.stdout.fileno())
     notes = journal.Journal(output, cfg.node)
+    journal.capture_libraries(notes)
     node = Node(cfg, notes)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -85,6 +89,8 @@
     await node.leave()
     notes.note("stop", active=node.active_calls(), dropped=output.dropped)
     output.flush()
+    env.stdout.flush()
+    os._exit(status.ExitStatus.SUCCESS)
 
 
 def _reload(path: pathlib.Path, notes: journal.Journal) -> None:
@@ -182,14 +188,16 @@
         self._server.is_leaving = True
         await asyncio.gather(self._leadership.resign(), self._presence.end())
         await asyncio.sleep(began + ROTATION_SECONDS - time.monotonic())
-        self._server.close_idle()
         end = began + self._cfg.limits.shutdown - END_MARGIN_SECONDS
-        quiet_since = time.monotonic()
-        while time.monotonic() < end:
-            if self._server.active:
-                quiet_since = time.monotonic()
-            if time.monotonic() - quiet_since > QUIET_SECONDS:
-                return
+        await self._wait_until_quiet(min(began + REFUSAL_SECONDS, end))
+        self._server.is_refusing = True
+        await self._wait_until_quiet(end)
+        await self._server.stop_listening()
+        self._server.close_idle()
+        await self._wait_until_quiet(end)
+
+    async def _wait_until_quiet(self, end: float) -> None:
+        while time.monotonic() < end and not self._server.is_quiet():
             await asyncio.sleep(LEAVING_TICK_SECONDS)
 
     async def _keep_house(self) -> None:
--- a/src/jujubeyard/node/journal.py
+++ b/src/jujubeyard/node/journal.py
@@ -10,6 +10,7 @@
 LINES_PER_SECOND = 60.0
 MAX_SAVED_LINES = 240.0
 MAX_HELD_BYTES = 65536
+MAX_DETAIL = 2000
 EVENT_LEVEL = logging.INFO
 
 
@@ -86,6 +87,32 @@
             self._process, EVENT_LEVEL, "", 0, event, None, None
         )
         record.__dict__.update(fields)
-        record.__dict__["process"] = self._process
+        record.__dict__["node"] = self._process
         record.__dict__["at"] = round(time.time(), 4)
         self._output.write(self._formatter.format(record) + "\n")
+
+
+class LibraryHandler(logging.Handler):
+    """Writes what libraries log as lines of a journal."""
+
+    def __init__(self, notes: Journal):
+        super().__init__(logging.WARNING)
+        self._notes = notes
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes a record, with its exception if it has one."""
+        detail = record.getMessage()
+        if record.exc_info:
+            detail += "\n" + logging.Formatter().formatException(
+                record.exc_info
+            )
+        self._notes.note_call(
+            "library", logger=record.name, detail=detail[:MAX_DETAIL]
+        )
+
+
+def capture_libraries(notes: Journal) -> None:
+    """Sends what libraries log to a journal."""
+    root = logging.getLogger()
+    root.handlers = [LibraryHandler(notes)]
+    root.setLevel(logging.WARNING)
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -15,6 +15,7 @@
 MAX_HEADER_BYTES = 64 * 1024
 IDLE_SECONDS = 120.0
 BACKLOG = 1024
+LEAVING_RETRY_SECONDS = 0.05
 DEFAULT_CALL_SECONDS = 30.0
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
@@ -44,6 +45,7 @@
     Attributes:
         active: Number of calls that are being served.
         is_leaving: Whether connections are closed after their next answer.
+        is_refusing: Whether calls are refused.
     """
 
     def __init__(self, serve: Serve, names: protocol.HeaderNames):
@@ -51,6 +53,8 @@
         self._names = names
         self.active = 0
         self.is_leaving = False
+        self.is_refusing = False
+        self._site: web.TCPSite | None = None
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_route("*", "/{path:.*}", self._handle)
         self._runner = web.AppRunner(
@@ -65,14 +69,24 @@
     async def start(self, address: settings.Address) -> None:
         """Starts to listen."""
         await self._runner.setup()
-        site = web.TCPSite(
+        self._site = web.TCPSite(
             self._runner, address.host, address.port, backlog=BACKLOG
         )
-        await site.start()
+        await self._site.start()
+
+    async def stop_listening(self) -> None:
+        """Takes no new connections."""
+        await self._site.stop()
 
     def close_idle(self) -> None:
-        """Closes connections on which no call is being served."""
-        self._runner.server.pre_shutdown()
+        """Closes connections on which no call has been read."""
+        for conn in self._runner.server.connections:
+            if _is_idle(conn):
+                conn.force_close()
+
+    def is_quiet(self) -> bool:
+        """Returns whether no call has been read that isn't answered."""
+        return all(map(_is_idle, self._runner.server.connections))
 
     async def _handle(self, req: web.Request) -> web.StreamResponse:
         self.active += 1
@@ -83,6 +97,9 @@
 
     async def _handle_counted(self, req: web.Request) -> web.StreamResponse:
         body = await req.read()
+        if self.is_refusing:
+            code = codes.ResultCode.SHUTTING_DOWN
+            return self._respond(calls.refuse(code, LEAVING_RETRY_SECONDS))
         try:
             call = self._read_call(req, body)
         except ValueError:
@@ -126,6 +143,16 @@
         return resp
 
 
+def _is_idle(conn: web.RequestHandler) -> bool:
+    """Returns whether a connection waits for its next request.
+
+    A request that was parsed and isn't yet handed to a handler shows only in
+    the connection's own state.
+    """
+    waiter = conn._waiter
+    return waiter is not None and not waiter.done()
+
+
 def _explain(reply: calls.Reply) -> web.Response:
     document = {
         "code": int(reply.code),
--- a/src/jujubeyard/routing/coldstart.py
+++ b/src/jujubeyard/routing/coldstart.py
@@ -44,12 +44,14 @@
         nodes: Names of all nodes.
         bound: Calls that the target bears in one second.
     """
-    ranked = sorted(
-        nodes, key=lambda name: xxhash.xxh3_64_intdigest(f"{target_id}/{name}")
-    )
+    ranked = sorted(nodes, key=lambda name: _rank(target_id, name))
     return ranked[: max(1, int(bound / CHANGE_MARGIN))]
 
 
+def _rank(target_id: str, node: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{target_id}/{node}".encode())
+
+
 class ColdPacer:
     """Paces the calls of one node to cold targets."""
 
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -7,14 +7,17 @@
 
 from jujubeyard.store import ports
 
-WATCH_SECONDS = 3.0
+WATCH_SECONDS = 2.5
 """How long a watch waits; bounds how long a silent connection misleads."""
 
+DOUBTFUL_WATCH_SECONDS = 0.5
+"""The same after a call without an answer: the store may return unnoticed."""
+
 BATCH_SECONDS = 0.08
 """Pause after changes, so that changes in quick succession share a call."""
 
 FIRST_PAUSE_SECONDS = 0.1
-MAX_PAUSE_SECONDS = 0.8
+MAX_PAUSE_SECONDS = 0.5
 
 
 class Listener(typing.Protocol):
@@ -45,6 +48,7 @@
         self._store = store
         self._listener = listener
         self._pause = FIRST_PAUSE_SECONDS
+        self._in_doubt = False
         self.revision: int | None = None
 
     async def run(self) -> None:
@@ -65,7 +69,8 @@
         self.revision = outcome.ok_value.revision
 
     async def _watch_once(self) -> None:
-        outcome = await self._store.watch(self.revision, WATCH_SECONDS)
+        seconds = DOUBTFUL_WATCH_SECONDS if self._in_doubt else WATCH_SECONDS
+        outcome = await self._store.watch(self.revision, seconds)
         if outcome.is_err():
             if outcome.err_value.kind is ports.FailureKind.COMPACTED:
                 self.revision = None
@@ -79,10 +84,12 @@
         self.revision = max(self.revision, outcome.ok_value.revision)
 
     def _note_answer(self) -> None:
+        self._in_doubt = False
         self._pause = FIRST_PAUSE_SECONDS
         self._listener.note_answer()
 
     async def _wait_after(self, failure: ports.Failure) -> None:
+        self._in_doubt = True
         self._listener.note_outage(failure)
         await asyncio.sleep(self._pause * random.uniform(0.5, 1.0))
         self._pause = min(2 * self._pause, MAX_PAUSE_SECONDS)
