Place keys by what nodes see of load, and spread tables by datagram

Change: nodes report calls by bucket of keys and the time of calls without waits to the leader; it moves shards by the calls in the system that a move saves (Sakasegawa's wait), divides hot shards, and gives a dominant one the fastest target. Updates of a table also go to nodes by datagram, so that watches may be slower.

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -16,13 +16,16 @@
 from jujubeyard.node import forward
 from jujubeyard.node import journal
 from jujubeyard.node import metrics
+from jujubeyard.node import reporting
 from jujubeyard.node import server
 from jujubeyard.node import settings
+from jujubeyard.node import surroundings
 from jujubeyard.node import tasks
 from jujubeyard.node import upstream
 from jujubeyard.node import view
 from jujubeyard.ownership import keeper
 from jujubeyard.ownership import leader
+from jujubeyard.ownership import table
 from jujubeyard.platform import changes
 from jujubeyard.platform import documents
 from jujubeyard.platform import headers
@@ -123,22 +126,33 @@
             WATCH_SLACK_SECONDS,
         )
         self._leadership = leader.Leadership(
-            self._store, changes.OWN_PREFIX, cfg.node, notes
+            self._store, changes.OWN_PREFIX, str(cfg.reports), notes
         )
         self._view.follow_leader(self._leadership)
         self._presence = tasks.Presence(
             self._store, self._view.node_key(cfg.node), cfg.node, notes
         )
+        around = surroundings.Surroundings(self._view)
+        self._reporter = reporting.Reporter(
+            self._find_leader,
+            around.take_report,
+            self._view.take_update,
+            notes,
+        )
         courier = keeper.Courier(
             self._store,
             self._order_session,
             orders.Speech(self._health_path),
             self._view.table_key,
-            self._view.take_table,
+            self._take_written,
             notes,
         )
         self._key_keeping = tasks.KeyKeeping(
-            self._leadership, self._view, courier, cfg.limits.max_hold
+            self._leadership,
+            self._view,
+            around,
+            courier,
+            cfg.limits.max_hold,
         )
         self._mirror = mirror.Mirror(self._store, self._view)
         self._upstreams = upstream.Upstreams(names)
@@ -150,6 +164,7 @@
             documents.read_load,
             self._metrics,
             notes,
+            self._reporter,
         )
         self._server = server.CallerServer(self._forwarder.serve, names)
         self._tasks: list[asyncio.Task] = []
@@ -172,11 +187,13 @@
         )
         await readiness.start(cfg.readiness)
         await server.MetricsServer(self._metrics.render).start(cfg.metrics)
+        await self._reporter.start(cfg.reports)
         for run in (
             self._mirror.run,
             self._leadership.run,
             self._presence.run,
             self._key_keeping.run,
+            self._reporter.run,
             self._keep_house,
         ):
             self._start(run)
@@ -220,6 +237,23 @@
         if not task.cancelled() and task.exception() is not None:
             self._notes.note("task failed", detail=repr(task.exception()))
 
+    def _take_written(self, written: table.ShardTable) -> None:
+        """Takes a table that this node has written, and spreads it."""
+        known = self._view.tables.get(written.service)
+        self._view.take_table(written)
+        if known is not None:
+            update = table.compare(known, written)
+            if update is not None:
+                self._reporter.spread(update)
+
+    def _find_leader(self) -> settings.Address | None:
+        if not self._leadership.address:
+            return None
+        try:
+            return settings.parse_address(self._leadership.address)
+        except ValueError:
+            return None
+
     def _health_path(self, service: str) -> str:
         if self._view.routes is None:
             return "/"
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -1,21 +1,19 @@
 """The path of a call: route, owner or choice, admission, target, answer."""
 
-import collections
 import collections.abc
 import dataclasses
 import random
 import time
 
-from jujubeyard import clock
 from jujubeyard import codes
 from jujubeyard.node import calls
 from jujubeyard.node import journal
 from jujubeyard.node import metrics
 from jujubeyard.node import protocol
+from jujubeyard.node import reporting
 from jujubeyard.node import settings
 from jujubeyard.node import upstream
 from jujubeyard.node import view
-from jujubeyard.ownership import table
 from jujubeyard.routing import admission
 from jujubeyard.routing import choice
 from jujubeyard.routing import coldstart
@@ -76,6 +74,7 @@
         deadline: When an answer is of no use, in monotonic seconds.
         tried: Targets that it was sent to.
         may_have_run: Whether a target may have run it.
+        ahead: Calls before the latest attempt at its target, over the slots.
         latest: Outcome of the latest attempt, as a code.
         retry_after: When the caller should return, if it is refused.
     """
@@ -86,9 +85,15 @@
     deadline: float
     tried: list[str] = dataclasses.field(default_factory=list)
     may_have_run: bool = False
+    ahead: float = 0.0
     latest: codes.ResultCode = codes.ResultCode.NO_TARGET
     retry_after: float = NO_TARGET_RETRY_SECONDS
 
+    @property
+    def is_keyed(self) -> bool:
+        """Whether only the owner of the call's key may serve it."""
+        return self.service.keyed and self.call.key is not None
+
     def left(self) -> float:
         """Returns the time left, in seconds."""
         return self.deadline - time.monotonic()
@@ -114,8 +119,10 @@
         read_load: collections.abc.Callable[[str], loads.LoadReport | None],
         numbers: metrics.Metrics,
         notes: journal.Journal,
+        reporter: reporting.Reporter,
     ):
         self._cfg = cfg
+        self._reporter = reporter
         self._view = known
         self._upstreams = upstreams
         self._names = names
@@ -131,7 +138,6 @@
         self._moved: dict[tuple[str, int], float] = {}
         self._rng = random.Random()
         self._own = {names.deadline.lower(), names.expected_target.lower()}
-        self.key_counts: dict[str, collections.Counter] = {}
 
     async def serve(self, call: calls.Call) -> calls.Reply:
         """Returns the reply to a call."""
@@ -156,6 +162,8 @@
         service = configuration.services[self._splitter.choose(route)]
         seconds = min(call.seconds, route.timeout)
         attempts = Attempts(call, route, service, call.received + seconds)
+        if attempts.is_keyed:
+            self._reporter.meter(service.name).count_call(call.key)
         reply = await self._attempt_all(attempts)
         self._account(attempts, reply)
         return reply
@@ -182,7 +190,7 @@
         return len(attempts.tried) < max(1, attempts.route.max_targets)
 
     async def _find_target(self, attempts: Attempts) -> registry.Target | None:
-        if attempts.service.keyed and attempts.call.key is not None:
+        if attempts.is_keyed:
             target = await self._find_owner(attempts)
         else:
             target = self._choose(attempts)
@@ -304,6 +312,7 @@
         if target.is_cold(now):
             self._pacer.count(target_id, now)
         attempts.tried.append(target_id)
+        attempts.ahead = target.load.ahead(target.listing.slots, now)
         target.load.in_flight += 1
         try:
             sent = await self._upstreams.send(self._outgoing(attempts, target))
@@ -374,7 +383,8 @@
             attempts.may_have_run = True
             return None
         if answer.status < SERVER_ERROR:
-            target.load.observe_success(now - started)
+            self._observe_success(attempts, target, now - started)
+            target.load.observe_size(len(answer.body))
         else:
             target.load.observe_failure()
             attempts.may_have_run = True
@@ -383,6 +393,12 @@
                 return None
         return self._pass_on(answer)
 
+    def _observe_success(self, attempts, target, seconds: float) -> None:
+        work = target.load.observe_success(seconds, attempts.ahead)
+        if attempts.is_keyed:
+            meter = self._reporter.meter(attempts.service.name)
+            meter.count_work(target.listing.target_id, work)
+
     def _may_retry(self, attempts: Attempts) -> bool:
         return (
             self._may_go_on(attempts)
@@ -476,13 +492,3 @@
         if name.lower() == "connection":
             named.update(part.strip().lower() for part in text.split(","))
     return named
-
-
-def is_reborn(owner: table.Owner, target: registry.Target | None) -> bool:
-    """Returns whether a target has started again since it was an owner."""
-    return target is not None and target.listing.born != owner.born
-
-
-def boot_offset() -> float:
-    """Returns boot time minus monotonic time, in seconds."""
-    return clock.boottime() - time.monotonic()
--- /dev/null
+++ b/src/jujubeyard/node/reporting.py
@@ -0,0 +1,123 @@
+"""Reports to the leader, and its updates to the nodes that report."""
+
+import asyncio
+import collections.abc
+import functools
+import time
+
+from jujubeyard import errors
+from jujubeyard.node import datagrams
+from jujubeyard.node import journal
+from jujubeyard.node import settings
+from jujubeyard.ownership import demand
+from jujubeyard.ownership import table
+
+REPORT_SECONDS = 0.4
+PEER_SECONDS = 3.0
+"""How long a node that has reported is sent updates."""
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    """Hands datagrams on."""
+
+    def __init__(self, take: collections.abc.Callable):
+        self._take = take
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Takes a datagram."""
+        self._take(data, addr)
+
+
+class Reporter:
+    """Counts calls by key, reports them, and spreads updates of tables."""
+
+    def __init__(
+        self,
+        find_leader: collections.abc.Callable[[], settings.Address | None],
+        take_report: collections.abc.Callable[[demand.Report], None],
+        take_update: collections.abc.Callable[[table.Update], None],
+        notes: journal.Journal,
+    ):
+        """Makes a reporter.
+
+        Args:
+            find_leader: Returns where the leader takes reports, if it is known.
+            take_report: Takes reports that other nodes send here.
+            take_update: Takes updates that the leader sends.
+            notes: Where malformed datagrams are written.
+        """
+        self._find_leader = find_leader
+        self._take_report = take_report
+        self._take_update = take_update
+        self._notes = notes
+        self._meters: dict[str, demand.Meter] = {}
+        self._peers: dict[tuple[str, int], float] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._own: settings.Address | None = None
+
+    def meter(self, service: str) -> demand.Meter:
+        """Returns the meter of a service."""
+        found = self._meters.get(service)
+        if found is None:
+            found = self._meters[service] = demand.Meter(service)
+        return found
+
+    async def start(self, address: settings.Address) -> None:
+        """Starts to take datagrams."""
+        loop = asyncio.get_running_loop()
+        self._own = address
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self._receive),
+            local_addr=(address.host, address.port),
+        )
+
+    async def run(self) -> None:
+        """Reports until cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_SECONDS)
+            for meter in list(self._meters.values()):
+                self._report(meter)
+
+    def spread(self, update: table.Update) -> None:
+        """Sends an update to all nodes that have reported of late."""
+        data = datagrams.encode(update)
+        if len(data) > datagrams.MAX_BYTES:
+            return
+        oldest = time.monotonic() - PEER_SECONDS
+        self._peers = {p: t for p, t in self._peers.items() if t > oldest}
+        for peer in self._peers:
+            self._transport.sendto(data, peer)
+
+    def _report(self, meter: demand.Meter) -> None:
+        report = meter.take()
+        leader = self._find_leader()
+        if report is None or leader is None:
+            return
+        if leader == self._own:
+            self._take_report(report)
+            return
+        data = datagrams.encode(report)
+        self._transport.sendto(data, (leader.host, leader.port))
+
+    def _receive(self, data: bytes, sender: tuple[str, int]) -> None:
+        try:
+            message = datagrams.decode(data)
+        except errors.FormatError as exc:
+            self._notes.note_call(
+                "datagram passed over", sender=sender[0], detail=exc.message
+            )
+            return
+        self._take(message, sender)
+
+    @functools.singledispatchmethod
+    def _take(self, message: datagrams.Datagram, sender) -> None:
+        raise TypeError(f"no such datagram: {message!r}")
+
+    @_take.register
+    def _(self, message: demand.Report, sender) -> None:
+        self._peers[sender] = time.monotonic()
+        self._take_report(message)
+
+    @_take.register
+    def _(self, message: table.Update, sender) -> None:
+        self._take_update(message)
--- a/src/jujubeyard/node/settings.py
+++ b/src/jujubeyard/node/settings.py
@@ -59,6 +59,7 @@
         listen: Where callers connect.
         readiness: Where the balancer asks whether the node is ready.
         metrics: Where metrics are served.
+        reports: Where reports of other nodes are taken.
         store: Where the store is.
         limits: Bounds.
     """
@@ -68,6 +69,7 @@
     listen: Address
     readiness: Address
     metrics: Address
+    reports: Address
     store: Address
     limits: Limits
 
@@ -84,10 +86,11 @@
         return NodeSettings(
             node=_name(document["node"]),
             zone=_name(document["zone"]),
-            listen=_address(document["listen"]),
-            readiness=_address(document["readiness"]),
-            metrics=_address(document["metrics"]),
-            store=_address(document["store"]),
+            listen=parse_address(document["listen"]),
+            readiness=parse_address(document["readiness"]),
+            metrics=parse_address(document["metrics"]),
+            reports=parse_address(document["reports"]),
+            store=parse_address(document["store"]),
             limits=Limits(
                 drain=durations.parse_seconds(limits["drain"]),
                 evacuation=durations.parse_seconds(limits["evacuation"]),
@@ -115,7 +118,12 @@
     return value
 
 
-def _address(value: object) -> Address:
+def parse_address(value: object) -> Address:
+    """Returns the address that a text such as "10.0.0.1:80" states.
+
+    Raises:
+        ValueError: It states none.
+    """
     host, _, port = str(value).rpartition(":")
     if not host:
         raise ValueError(f"{value!r} is not IP:PORT")
--- a/src/jujubeyard/node/tasks.py
+++ b/src/jujubeyard/node/tasks.py
@@ -74,6 +74,7 @@
         self,
         leadership: leader.Leadership,
         known: view.View,
+        around: surroundings.Surroundings,
         courier: keeper.Courier,
         max_hold_seconds: float,
     ):
@@ -81,7 +82,7 @@
         self._view = known
         self._courier = courier
         self._max_hold_seconds = max_hold_seconds
-        self._around = surroundings.Surroundings(known)
+        self._around = around
         self._term = 0
         self._keepers: dict[str, keeper.Keeper] = {}
 
--- a/src/jujubeyard/node/view.py
+++ b/src/jujubeyard/node/view.py
@@ -90,6 +90,15 @@
         changed, self._tables_changed = self._tables_changed, asyncio.Event()
         changed.set()
 
+    def take_update(self, update: table.Update) -> None:
+        """Takes what the leader says it has written, if it fits."""
+        known = self.tables.get(update.service)
+        if known is None:
+            return
+        found = table.apply_update(known, update)
+        if found is not None:
+            self.take_table(found)
+
     def take_all(self, items: collections.abc.Sequence[ports.Item]) -> None:
         """Takes a full reading of the store."""
         read = [self._read(item) for item in items]
--- a/src/jujubeyard/ownership/keeper.py
+++ b/src/jujubeyard/ownership/keeper.py
@@ -12,13 +12,14 @@
 import aiohttp
 
 from jujubeyard import clock
+from jujubeyard.ownership import demand
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import orders
 from jujubeyard.ownership import planner
 from jujubeyard.ownership import table
 from jujubeyard.store import ports
 
-HOLD_SECONDS = 3.2
+HOLD_SECONDS = 3.5
 """Length of a grant while the store answers."""
 
 RENEW_SECONDS = 0.9
@@ -34,6 +35,7 @@
 """How long an owner must be silent before its shards move."""
 
 PROBE_SECONDS = 0.4
+BALANCE_SECONDS = 0.25
 MIN_RELEASE_SECONDS = 0.3
 WRITE_PAUSE_SECONDS = 0.3
 """Pause after a write that did not succeed."""
@@ -81,8 +83,11 @@
     def is_ended(self, owner: table.Owner) -> bool:
         """Returns whether that life of the target has certainly ended."""
 
-    def shard_loads(self, found: table.ShardTable) -> list[float]:
-        """Returns the estimated load of each shard."""
+    def shard_rates(self, found: table.ShardTable) -> list[float]:
+        """Returns the calls per second for each shard."""
+
+    def bucket_calls(self, service: str) -> list[float]:
+        """Returns the calls by bucket of keys, weighted by age."""
 
     def observe_reply(self, owner: table.Owner, reply: orders.Reply) -> None:
         """Takes what a reply to an order shows of a target."""
@@ -108,13 +113,14 @@
         self._courier = courier
         self._max_hold_seconds = max_hold_seconds
         self._table: table.ShardTable | None = None
-        self._holds: list[Hold] = []
+        self._holds: dict[int, Hold] = {}
         self._moving: set[int] = set()
         self._freed: dict[int, Freed] = {}
         self._silent: dict[table.Owner, float] = {}
         self._ended: set[table.Owner] = set()
         self._writing = False
         self._write_at = 0.0
+        self._balance_at = 0.0
         self._stopped = False
         self._tasks: set[asyncio.Task] = set()
 
@@ -128,7 +134,7 @@
         """Takes the table that the term begins with."""
         self._table = found
         longest = self._hold_end(self._leadership.won_at, self._max_hold())
-        self._holds = [Hold(longest) for _ in found.shards]
+        self._holds = {shard.first: Hold(longest) for shard in found.shards}
 
     def tick(self, now: float) -> None:
         """Gives the orders that are due.
@@ -159,20 +165,58 @@
         self._start(self._write(planner.place_all(candidates, fence), {}))
 
     def _begin_moves(self, candidates, now: float) -> None:
-        moves = planner.choose_moves(
-            self._table.shards,
-            self._around.shard_loads(self._table),
-            candidates,
-            self._moving,
-            self._around.may_balance(self.service),
-        )
+        shards = self._table.shards
+        rates = self._around.shard_rates(self._table)
+        moving = {
+            index
+            for index, shard in enumerate(shards)
+            if shard.first in self._moving
+        }
+        moves = planner.rehome(shards, rates, candidates, moving)
+        if not moves and now >= self._balance_at and not self._writing:
+            self._balance_at = now + BALANCE_SECONDS
+            moves = self._balance(shards, rates, candidates, moving)
         for move in moves:
-            self._moving.add(move.index)
-            self._start(self._free(move, now))
+            shard = shards[move.index]
+            self._moving.add(shard.first)
+            self._start(self._free(shard, move, now))
+
+    def _balance(self, shards, rates, candidates, moving) -> list[planner.Move]:
+        if not self._around.may_balance(self.service):
+            return []
+        align = demand.BUCKET_KEYS
+        splits = planner.choose_splits(shards, rates, candidates, moving, align)
+        if splits and self._may_write():
+            self._split(splits)
+            return []
+        if len(moving) >= planner.MAX_BALANCE_MOVES:
+            return []
+        return [
+            move
+            for move in planner.rebalance(shards, rates, candidates)
+            if move.index not in moving
+        ]
+
+    def _split(self, places: list[int]) -> None:
+        calls = self._around.bucket_calls(self.service)
+        parts = []
+        for index, shard in enumerate(self._table.shards):
+            if index in places:
+                parts += planner.split(shard, calls, demand.BUCKET_KEYS)
+            else:
+                parts.append(shard)
+        self._courier.note(
+            "shards divided",
+            service=self.service,
+            firsts=[self._table.shards[index].first for index in places],
+            shards=len(parts),
+        )
+        self._start(self._write(tuple(parts), {}))
 
-    async def _free(self, move: planner.Move, now: float) -> None:
-        shard = self._table.shards[move.index]
-        hold = self._holds[move.index]
+    async def _free(
+        self, shard: table.Shard, move: planner.Move, now: float
+    ) -> None:
+        hold = self._holds[shard.first]
         handover = ""
         if not self._has_ended(shard.owner):
             handover = await self._release(shard, hold, now)
@@ -187,7 +231,7 @@
             handover=bool(handover),
             waited=round(clock.boottime() - now, 3),
         )
-        self._freed[move.index] = Freed(move, handover)
+        self._freed[shard.first] = Freed(move, handover)
 
     async def _release(self, shard: table.Shard, hold: Hold, now: float) -> str:
         """Returns the handover once nobody can hold the shard any more."""
@@ -216,12 +260,15 @@
         owners = {candidate.owner for candidate in candidates}
         shards = list(self._table.shards)
         freed, self._freed = self._freed, {}
-        for index, entry in freed.items():
+        for index, shard in enumerate(shards):
+            entry = freed.get(shard.first)
+            if entry is None:
+                continue
             to = entry.move.to
             if to not in owners and not entry.is_pinned:
                 to = self._least(candidates)
             shards[index] = dataclasses.replace(
-                shards[index],
+                shard,
                 owner=to,
                 fence=self._leadership.draw_fence(),
                 handover=entry.handover,
@@ -255,43 +302,51 @@
             self._adopt(outcome.stored)
         if not outcome.is_written:
             self._write_at = clock.boottime() + WRITE_PAUSE_SECONDS
-            for index, entry in freed.items():
-                self._freed.setdefault(index, entry)
+            for first, entry in freed.items():
+                self._freed.setdefault(first, entry)
             return
-        for index in freed:
-            self._holds[index] = Hold(0.0)
-            self._moving.discard(index)
+        for first in freed:
+            self._holds[first] = Hold(0.0)
+            self._moving.discard(first)
 
     def _adopt(self, stored: table.ShardTable) -> None:
         """Takes a table that the store holds, as written by this term."""
-        missing = len(stored.shards) - len(self._holds)
-        self._holds += [Hold(0.0) for _ in range(missing)]
+        holds, latest = {}, Hold(0.0)
+        for shard in stored.shards:
+            latest = self._holds.get(shard.first) or Hold(latest.until)
+            holds[shard.first] = latest
+        self._holds = holds
         self._table = stored
 
     def _renew(self, now: float) -> None:
         if self._writing:
             return
-        for index, shard in enumerate(self._table.shards):
-            hold = self._holds[index]
-            if hold.sending or hold.renew_at > now or index in self._moving:
+        for shard in self._table.shards:
+            hold = self._holds[shard.first]
+            if hold.sending or hold.renew_at > now:
+                continue
+            if shard.first in self._moving:
                 continue
             if shard.owner in self._silent or shard.owner in self._ended:
                 continue
             hold.sending = True
-            self._start(self._grant(index, shard, hold))
+            self._start(self._grant(shard, hold))
 
-    async def _grant(self, index: int, shard: table.Shard, hold: Hold) -> None:
+    async def _grant(self, shard: table.Shard, hold: Hold) -> None:
         try:
-            await self._grant_once(index, shard, hold)
+            await self._grant_once(shard, hold)
         finally:
             hold.sending = False
 
-    async def _grant_once(self, index, shard: table.Shard, hold: Hold) -> None:
+    async def _grant_once(self, shard: table.Shard, hold: Hold) -> None:
         seconds = HOLD_SECONDS
         if self._leadership.renewal_failed:
             seconds = self._max_hold()
         now = clock.boottime()
-        if not self._leadership.is_certain() or index in self._moving:
+        is_current = self._table.find(shard.first) == shard
+        if not self._leadership.is_certain() or not is_current:
+            return
+        if shard.first in self._moving:
             return
         hold.until = max(hold.until, self._hold_end(now, seconds))
         hold.renew_at = now + RENEW_SECONDS
@@ -306,9 +361,9 @@
         outcome = await self._courier.grant(grant, ORDER_SECONDS)
         if self._stopped:
             return
-        self._judge_grant(index, shard, outcome)
+        self._judge_grant(shard, outcome)
 
-    def _judge_grant(self, index, shard, outcome: orders.Result) -> None:
+    def _judge_grant(self, shard, outcome: orders.Result) -> None:
         if outcome.reply is not None:
             self._around.observe_reply(shard.owner, outcome.reply)
         if outcome.outcome is orders.Outcome.DONE:
@@ -326,18 +381,19 @@
         if outcome.outcome is orders.Outcome.GONE:
             self._ended.add(shard.owner)
         elif outcome.outcome is orders.Outcome.FENCED:
-            self._begin_refence(index, shard)
+            self._begin_refence(shard)
         elif shard.owner not in self._silent:
             self._silent[shard.owner] = clock.boottime()
             self._start(self._probe(shard.owner))
 
-    def _begin_refence(self, index: int, shard: table.Shard) -> None:
+    def _begin_refence(self, shard: table.Shard) -> None:
         """Gives a shard to its owner again, under a higher fence."""
-        if index in self._moving:
+        current = self._table.find(shard.first)
+        if current != shard or shard.first in self._moving:
             return
-        self._moving.add(index)
-        move = planner.Move(index, shard.owner, "a higher fence was seen")
-        self._freed[index] = Freed(move, "", is_pinned=True)
+        self._moving.add(shard.first)
+        move = planner.Move(0, shard.owner, "a higher fence was seen")
+        self._freed[shard.first] = Freed(move, "", is_pinned=True)
 
     async def _probe(self, owner: table.Owner) -> None:
         while owner in self._silent and not self._stopped:
--- a/src/jujubeyard/ownership/leader.py
+++ b/src/jujubeyard/ownership/leader.py
@@ -13,7 +13,7 @@
 CERTAINTY_MARGIN_SECONDS = 0.1
 """Taken off the lease for clocks that differ in rate."""
 
-ELECTION_JITTER_SECONDS = 0.25
+ELECTION_JITTER_SECONDS = 0.15
 RETRY_SECONDS = 0.4
 FENCES_PER_TERM = 1 << 20
 
@@ -35,14 +35,15 @@
         term: Number of this node's term; 0 while it doesn't lead.
         won_at: When the term was won, on the clock of `clock.boottime`.
         renewal_failed: Whether the latest renewal failed.
+        address: Where the leader that is known takes reports; may be empty.
     """
 
     def __init__(
-        self, store: ports.Store, prefix: str, node: str, journal: Journal
+        self, store: ports.Store, prefix: str, address: str, journal: Journal
     ):
         self._store = store
         self._key = prefix + LEADER_KEY
-        self._node = node
+        self._address = address
         self._journal = journal
         self._lease = 0
         self._certain_until = 0.0
@@ -51,6 +52,7 @@
         self.term = 0
         self.won_at = 0.0
         self.renewal_failed = False
+        self.address = ""
 
     @property
     def key(self) -> str:
@@ -78,6 +80,7 @@
             self._vacant.set()
             return
         self._vacant.clear()
+        self.address = item.value.decode(errors="replace")
         if self.term and item.created > self.term:
             self._lose("another node leads")
 
@@ -109,7 +112,7 @@
         lease = await self._store.open_lease(LEASE_SECONDS)
         if lease.is_err():
             return False
-        item = ports.Put(self._key, self._node.encode(), lease.ok_value)
+        item = ports.Put(self._key, self._address.encode(), lease.ok_value)
         absent = ports.Condition(self._key, 0)
         outcome = await self._store.write([absent], [item])
         if outcome.is_err():
--- a/src/jujubeyard/ownership/planner.py
+++ b/src/jujubeyard/ownership/planner.py
@@ -1,27 +1,41 @@
 """Decides which shards should move where. Plain functions, no input or output.
 
 Load answered: targets that join, leave, fall silent or are slow, and keys that
-become hot together.
+become hot, alone or together.
 """
 
 import collections.abc
 import dataclasses
+import math
 
 from jujubeyard.ownership import table
 
 SHARDS_PER_TARGET = 6
 MIN_SHARDS = 64
 MAX_SHARDS = 512
+MAX_SPLIT_SHARDS = 640
 
-OVERLOAD_RATIO = 1.25
-"""A target's load over the mean above which shards move away."""
+MIN_GAIN_CALLS = 0.15
+"""Calls in the system that a move must save to be worth its interruption."""
 
-MIN_MOVED_LOAD = 0.02
-"""Share of the mean load of a target below which a move gains nothing."""
+MOVE_SECONDS = 0.06
+"""The same, for each call per second that is interrupted by the move."""
 
-MAX_BALANCE_MOVES = 4
-JOIN_SHARE = 0.9
-"""Share of the mean number of shards that a joined target is given."""
+MAX_BALANCE_MOVES = 3
+SOURCES = 3
+DESTINATIONS = 4
+FULL_UTILISATION = 0.95
+OVERLOAD_SLOPE = 40.0
+"""Growth of the wait beyond full utilisation, where it has no limit."""
+
+DOMINANT_UTILISATION = 0.75
+"""Part of its owner's capacity above which a shard is placed by itself."""
+
+DOMINANT_GAIN = 1.25
+"""How much more capacity another target must have for a dominant shard."""
+
+SPLIT_SHARE = 0.12
+"""Part of a mean target's capacity above which a shard is divided."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,11 +44,13 @@
 
     Attributes:
         owner: The target's present life.
-        capacity: Its capacity, relative to the others.
+        capacity: Calls that it can serve in a second.
+        slots: Calls that it runs at once.
     """
 
     owner: table.Owner
     capacity: float
+    slots: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,98 +93,216 @@
     return tuple(shards)
 
 
-@dataclasses.dataclass(slots=True)
-class _Assignment:
-    """Loads while moves are chosen."""
+def estimate_wait(utilisation: float, slots: int) -> float:
+    """Returns the mean wait for a slot, as a multiple of the work of a call.
+
+    This is Sakasegawa's approximation of a queue with several servers, with a
+    straight line where the queue would grow without limit.
+
+    Args:
+        utilisation: Part of the capacity that is asked for.
+        slots: Number of servers.
+    """
+    bounded = min(utilisation, FULL_UTILISATION)
+    wait = bounded ** math.sqrt(2 * (slots + 1)) / (slots * (1.0 - bounded))
+    return wait + OVERLOAD_SLOPE * max(0.0, utilisation - bounded)
+
+
+class Balance:
+    """Rates of targets while moves are chosen.
 
-    loads: dict[table.Owner, float]
-    capacities: dict[table.Owner, float]
+    Attributes:
+        rates: Calls per second by owner.
+    """
 
-    def least(self) -> table.Owner:
-        return min(self.loads, key=lambda o: self.loads[o] / self.capacities[o])
+    def __init__(
+        self,
+        shards: collections.abc.Sequence[table.Shard],
+        rates: collections.abc.Sequence[float],
+        candidates: collections.abc.Sequence[Candidate],
+    ):
+        self._candidates = {c.owner: c for c in candidates}
+        self.rates = dict.fromkeys(self._candidates, 0.0)
+        for shard, rate in zip(shards, rates, strict=True):
+            if shard.owner in self.rates:
+                self.rates[shard.owner] += rate
+
+    def capacity(self, owner: table.Owner) -> float:
+        """Returns the calls that an owner can serve in a second."""
+        return self._candidates[owner].capacity
+
+    def seconds(self, owner: table.Owner, more: float = 0.0) -> float:
+        """Returns the mean time of a call at an owner after a gain."""
+        candidate = self._candidates[owner]
+        rate = self.rates[owner] + more
+        wait = estimate_wait(rate / candidate.capacity, candidate.slots)
+        return candidate.slots / candidate.capacity * (1.0 + wait)
+
+    def calls(self, owner: table.Owner, more: float = 0.0) -> float:
+        """Returns the mean number of calls at an owner after a gain."""
+        return (self.rates[owner] + more) * self.seconds(owner, more)
+
+    def added_calls(self, owner: table.Owner, more: float) -> float:
+        """Returns by how much the number of calls grows with a gain."""
+        return self.calls(owner, more) - self.calls(owner)
+
+    def cheapest(self, rate: float) -> list[table.Owner]:
+        """Returns the owners, the best for another shard of a rate first."""
+        return sorted(
+            self.rates, key=lambda owner: self.added_calls(owner, rate)
+        )
 
-    def pressure(self, owner: table.Owner) -> float:
-        return self.loads[owner] / self.capacities[owner]
+    def move(self, rate: float, source: table.Owner, to: table.Owner) -> None:
+        """Counts a move."""
+        if source in self.rates:
+            self.rates[source] -= rate
+        self.rates[to] += rate
 
 
-def choose_moves(
+def rehome(
     shards: collections.abc.Sequence[table.Shard],
-    loads: collections.abc.Sequence[float],
+    rates: collections.abc.Sequence[float],
     candidates: collections.abc.Sequence[Candidate],
     moving: collections.abc.Set[int],
-    may_balance: bool,
 ) -> list[Move]:
-    """Returns the moves that should begin now.
+    """Returns the moves of shards whose owners may not keep them.
 
     Args:
         shards: The table.
-        loads: Estimated load of each shard.
+        rates: Calls per second for each shard.
         candidates: Targets that may own keys.
         moving: Places of shards that are being moved.
-        may_balance: Whether shards may also move for load.
     """
     if not candidates:
         return []
-    capacities = {c.owner: c.capacity for c in candidates}
-    state = _Assignment(dict.fromkeys(capacities, 0.0), capacities)
-    for shard, share in zip(shards, loads, strict=True):
-        if shard.owner in state.loads:
-            state.loads[shard.owner] += share
-    moves = _rehome(shards, loads, state, moving)
-    if may_balance and not moves and not moving:
-        moves = _balance(shards, loads, state)
-    return moves
-
-
-def _rehome(shards, loads, state: _Assignment, moving) -> list[Move]:
-    moves = []
+    balance = Balance(shards, rates, candidates)
+    total = sum(rates)
+    floor = max(total / len(shards), 1e-6) if shards else 0.0
     homeless = [
         index
         for index, shard in enumerate(shards)
-        if shard.owner not in state.loads and index not in moving
+        if shard.owner not in balance.rates and index not in moving
     ]
-    for index in sorted(homeless, key=lambda i: -loads[i]):
-        to = state.least()
-        state.loads[to] += loads[index]
+    moves = []
+    for index in sorted(homeless, key=lambda i: -rates[i]):
+        rate = max(rates[index], floor)
+        to = balance.cheapest(rate)[0]
+        balance.move(rate, shards[index].owner, to)
         moves.append(Move(index, to, "owner may not keep it"))
     return moves
 
 
-def _balance(shards, loads, state: _Assignment) -> list[Move]:
-    moves = []
-    mean = sum(state.loads.values()) / sum(state.capacities.values())
-    if mean <= 0.0:
-        return moves
-    moved = set()
-    for _ in range(MAX_BALANCE_MOVES):
-        source = max(state.loads, key=state.pressure)
-        to = state.least()
-        if state.pressure(source) < OVERLOAD_RATIO * mean:
-            break
-        index = _best_shard(shards, loads, state, source, to, moved)
-        if index is None:
-            break
-        moved.add(index)
-        state.loads[source] -= loads[index]
-        state.loads[to] += loads[index]
-        moves.append(Move(index, to, "owner is overloaded"))
-    return moves
+def rebalance(
+    shards: collections.abc.Sequence[table.Shard],
+    rates: collections.abc.Sequence[float],
+    candidates: collections.abc.Sequence[Candidate],
+) -> list[Move]:
+    """Returns the few moves that relieve overloaded targets most."""
+    if len(candidates) < 2:
+        return []
+    balance = Balance(shards, rates, candidates)
+    typical = sum(rates) / len(shards)
+    order = balance.cheapest(typical)
+    moves: list[Move] = []
+    moved: set[int] = set()
+    for source in order[: -SOURCES - 1 : -1]:
+        destinations = [o for o in order[:DESTINATIONS] if o != source]
+        move = _relieve(source, destinations, shards, rates, balance, moved)
+        if move is None:
+            continue
+        moved.add(move.index)
+        balance.move(rates[move.index], source, move.to)
+        moves.append(move)
+    return moves[:MAX_BALANCE_MOVES]
 
 
-def _best_shard(shards, loads, state, source, to, moved) -> int | None:
-    """Returns the shard whose move lowers the higher pressure of the two most.
+def _relieve(
+    source, destinations, shards, rates, balance: Balance, moved
+) -> Move | None:
+    """Returns the move that takes most calls off an owner and the system."""
+    own = [
+        index
+        for index, shard in enumerate(shards)
+        if shard.owner == source and index not in moved
+    ]
+    best, best_gain = None, 0.0
+    for index in own:
+        rate = rates[index]
+        saved = -balance.added_calls(source, -rate)
+        for to in destinations:
+            gain = saved - balance.added_calls(to, rate)
+            gain -= MIN_GAIN_CALLS + MOVE_SECONDS * rate
+            if gain > best_gain:
+                best = Move(index, to, "calls are faster elsewhere")
+                best_gain = gain
+    return best or _replace_dominant(source, own, rates, balance)
+
+
+def _replace_dominant(source, own, rates, balance: Balance) -> Move | None:
+    """Returns the move of a hot shard that fills its owner by itself.
+
+    No move of it gains while others keep the fastest target busy; they leave
+    once it is there.
+    """
+    if not own:
+        return None
+    index = max(own, key=lambda i: rates[i])
+    rate = rates[index]
+    capacity = balance.capacity(source)
+    if rate < DOMINANT_UTILISATION * capacity:
+        return None
+    fastest = max(balance.rates, key=balance.capacity)
+    if balance.capacity(fastest) < DOMINANT_GAIN * capacity:
+        return None
+    if balance.rates[fastest] > rate:
+        return None
+    return Move(index, fastest, "a faster target for a hot shard")
+
+
+def choose_splits(
+    shards: collections.abc.Sequence[table.Shard],
+    rates: collections.abc.Sequence[float],
+    candidates: collections.abc.Sequence[Candidate],
+    moving: collections.abc.Set[int],
+    align: int,
+) -> list[int]:
+    """Returns the places of shards that are too hot to be moved whole.
 
-    The hottest shard of an overloaded target often can't move to advantage;
-    its cool neighbours then do.
+    Args:
+        shards: The table.
+        rates: Calls per second for each shard.
+        candidates: Targets that may own keys.
+        moving: Places of shards that are being moved.
+        align: Number of keys that can't be told apart by their rates.
     """
-    best, best_pressure = None, state.pressure(source)
-    for index, shard in enumerate(shards):
-        if shard.owner != source or index in moved:
-            continue
-        left = (state.loads[source] - loads[index]) / state.capacities[source]
-        gained = (state.loads[to] + loads[index]) / state.capacities[to]
-        pressure = max(left, gained)
-        gain = best_pressure - pressure
-        if gain > MIN_MOVED_LOAD * state.pressure(source):
-            best, best_pressure = index, pressure
-    return best
+    if not candidates or len(shards) >= MAX_SPLIT_SHARDS:
+        return []
+    mean = sum(c.capacity for c in candidates) / len(candidates)
+    return [
+        index
+        for index, shard in enumerate(shards)
+        if rates[index] > SPLIT_SHARE * mean
+        and shard.last - shard.first + 1 >= 2 * align
+        and index not in moving
+    ]
+
+
+def split(
+    shard: table.Shard, calls: collections.abc.Sequence[float], align: int
+) -> list[table.Shard]:
+    """Returns a shard in parts of about equal rate, its hottest one alone.
+
+    Args:
+        shard: The shard.
+        calls: Calls by bucket of keys.
+        align: Number of keys in a bucket.
+    """
+    buckets = range(shard.first // align, shard.last // align + 1)
+    hottest = max(buckets, key=lambda bucket: calls[bucket])
+    cuts = {shard.first, hottest * align, (hottest + 1) * align}
+    starts = sorted(c for c in cuts if shard.first <= c <= shard.last)
+    ends = [start - 1 for start in starts[1:]] + [shard.last]
+    return [
+        dataclasses.replace(shard, first=start, last=end)
+        for start, end in zip(starts, ends, strict=True)
+    ]
--- a/src/jujubeyard/ownership/table.py
+++ b/src/jujubeyard/ownership/table.py
@@ -66,6 +66,45 @@
         return self.shards[index]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Update:
+    """What a write changed in a table.
+
+    Attributes:
+        service: Name of the service.
+        base: Revision of the table before.
+        revision: Its revision after.
+        shards: The shards that changed.
+    """
+
+    service: str
+    base: int
+    revision: int
+    shards: tuple[Shard, ...]
+
+
+def compare(old: ShardTable, new: ShardTable) -> Update | None:
+    """Returns what changed, or None if the shards are divided differently."""
+    if len(old.shards) != len(new.shards):
+        return None
+    changed = []
+    for before, after in zip(old.shards, new.shards, strict=True):
+        if (before.first, before.last) != (after.first, after.last):
+            return None
+        if before != after:
+            changed.append(after)
+    return Update(new.service, old.revision, new.revision, tuple(changed))
+
+
+def apply_update(known: ShardTable, update: Update) -> ShardTable | None:
+    """Returns the table after an update, or None if it has another base."""
+    if known.revision != update.base:
+        return None
+    changed = {shard.first: shard for shard in update.shards}
+    shards = tuple(changed.get(s.first, s) for s in known.shards)
+    return ShardTable(known.service, shards, update.revision)
+
+
 def divide_keys(count: int) -> list[tuple[int, int]]:
     """Returns the first and last key of each of a number of equal ranges."""
     size = protocol.KEY_COUNT // count
--- a/src/jujubeyard/routing/choice.py
+++ b/src/jujubeyard/routing/choice.py
@@ -5,9 +5,12 @@
 
 from jujubeyard.targets import registry
 
-OTHER_ZONE_SECONDS = 0.02
+OTHER_ZONE_SECONDS = 0.01
 """What a target of another zone costs in the comparison."""
 
+OTHER_ZONE_SECONDS_PER_BYTE = 1e-6
+"""The same, for each byte that is expected to cross."""
+
 FAILURE_SECONDS = 1.0
 """What a target whose every call fails costs in the comparison."""
 
@@ -51,4 +54,5 @@
     cost += FAILURE_SECONDS * target.load.failures
     if target.listing.zone != zone:
         cost += OTHER_ZONE_SECONDS
+        cost += OTHER_ZONE_SECONDS_PER_BYTE * target.load.answer_bytes
     return cost
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -13,7 +13,7 @@
 DOUBTFUL_WATCH_SECONDS = 0.5
 """The same after a call without an answer: the store may return unnoticed."""
 
-BATCH_SECONDS = 0.08
+BATCH_SECONDS = 0.3
 """Pause after changes, so that changes in quick succession share a call."""
 
 FIRST_PAUSE_SECONDS = 0.1
--- a/src/jujubeyard/targets/loads.py
+++ b/src/jujubeyard/targets/loads.py
@@ -38,6 +38,7 @@
         own_at_report: This node's calls in flight when it came.
         work_seconds: Smoothed time of a call, without its wait for a slot.
         failures: Smoothed share of calls that failed.
+        answer_bytes: Smoothed size of its answers.
         avoid_until: Until when the target is passed over where others exist.
     """
 
@@ -48,6 +49,7 @@
     work_seconds: float = 0.0
     failures: float = 0.0
     avoid_until: float = 0.0
+    answer_bytes: float = 0.0
 
     def observe_report(self, report: LoadReport, now: float) -> None:
         """Takes the report of an answer."""
@@ -55,15 +57,27 @@
         self.reported_at = now
         self.own_at_report = self.in_flight
 
-    def observe_success(self, seconds: float) -> None:
-        """Takes the time of a call that succeeded."""
-        waiting = self.report.waiting if self.report else 0
-        slots = self.report.slots if self.report else 1
-        work = seconds / (1.0 + waiting / max(slots, 1))
+    def observe_success(self, seconds: float, ahead: float) -> float:
+        """Takes the time of a call that succeeded.
+
+        Args:
+            seconds: Its time.
+            ahead: Calls that had to end before it had a slot, over the slots,
+                as estimated when it was sent.
+
+        Returns:
+            Its time without the wait for a slot, in seconds.
+        """
+        work = seconds / (1.0 + ahead)
         if not self.work_seconds:
             self.work_seconds = work
         self.work_seconds += SPEED_SMOOTHING * (work - self.work_seconds)
         self.failures -= FAILURE_SMOOTHING * self.failures
+        return work
+
+    def observe_size(self, size: int) -> None:
+        """Takes the size of an answer."""
+        self.answer_bytes += SPEED_SMOOTHING * (size - self.answer_bytes)
 
     def observe_failure(self) -> None:
         """Counts a call that failed."""
@@ -83,8 +97,11 @@
         others = max(0, reported - 1 - self.own_at_report)
         return self.in_flight + weight * others
 
+    def ahead(self, slots: int, now: float) -> float:
+        """Returns the calls before one more call has a slot, over the slots."""
+        return max(0.0, self.busy(now) + 1 - slots) / max(slots, 1)
+
     def expected_seconds(self, slots: int, now: float) -> float:
         """Returns the estimated time of one more call, in seconds."""
         work = self.work_seconds or INITIAL_WORK_SECONDS
-        excess = max(0.0, self.busy(now) + 1 - slots)
-        return work * (1.0 + excess / max(slots, 1))
+        return work * (1.0 + self.ahead(slots, now))
--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -210,7 +210,10 @@
     def is_ended(self, owner: table.Owner) -> bool:
         return owner in self.ended
 
-    def shard_loads(self, found: table.ShardTable) -> list[float]:
+    def bucket_calls(self, service: str) -> list[float]:
+        return [0.0] * 1024
+
+    def shard_rates(self, found: table.ShardTable) -> list[float]:
         return [1.0] * len(found.shards)
 
     def observe_reply(self, owner, reply) -> None:
