--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -147,14 +147,15 @@
             self._take_written,
             notes,
         )
+        self._mirror = mirror.Mirror(self._store, self._view)
         self._key_keeping = tasks.KeyKeeping(
             self._leadership,
             self._view,
             around,
             courier,
+            self._mirror,
             cfg.limits.max_hold,
         )
-        self._mirror = mirror.Mirror(self._store, self._view)
         self._upstreams = upstream.Upstreams(names)
         self._forwarder = forward.Forwarder(
             cfg,
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -59,7 +59,7 @@
 REFUSED_PAUSE_SECONDS = 0.15
 BROKEN_PAUSE_SECONDS = 0.5
 UNREACHABLE_PAUSE_SECONDS = 1.0
-LEAVING_MARGIN = 0.7
+LEAVING_MARGIN = 0.6
 """Part of the bound after which a leaving target gets no keyed calls."""
 
 
--- a/src/jujubeyard/node/tasks.py
+++ b/src/jujubeyard/node/tasks.py
@@ -9,6 +9,7 @@
 from jujubeyard.node import view
 from jujubeyard.ownership import keeper
 from jujubeyard.ownership import leader
+from jujubeyard.store import mirror
 from jujubeyard.store import ports
 
 PRESENCE_SECONDS = 6.0
@@ -76,9 +77,11 @@
         known: view.View,
         around: surroundings.Surroundings,
         courier: keeper.Courier,
+        followed: mirror.Mirror,
         max_hold_seconds: float,
     ):
         self._leadership = leadership
+        self._mirror = followed
         self._view = known
         self._courier = courier
         self._max_hold_seconds = max_hold_seconds
@@ -91,6 +94,7 @@
         while True:
             if self._leadership.term != self._term:
                 self._change_term()
+                self._mirror.is_prompt = bool(self._term)
             if not self._term:
                 await asyncio.sleep(IDLE_TICK_SECONDS / 4)
                 continue
--- a/src/jujubeyard/ownership/keeper.py
+++ b/src/jujubeyard/ownership/keeper.py
@@ -35,7 +35,10 @@
 """How long an owner must be silent before its shards move."""
 
 PROBE_SECONDS = 0.4
-BALANCE_SECONDS = 0.25
+BALANCE_SECONDS = 0.4
+GATHER_SECONDS = 0.15
+"""How long shards that were freed wait for others to share a write."""
+
 MIN_RELEASE_SECONDS = 0.3
 WRITE_PAUSE_SECONDS = 0.3
 """Pause after a write that did not succeed."""
@@ -63,11 +66,13 @@
     Attributes:
         move: Where it goes.
         handover: What its next owner needs; may be empty.
+        freed_at: When that was known, in boot time.
         is_pinned: Whether it must stay with the owner that it has.
     """
 
     move: planner.Move
     handover: str
+    freed_at: float
     is_pinned: bool = False
 
 
@@ -231,7 +236,7 @@
             handover=bool(handover),
             waited=round(clock.boottime() - now, 3),
         )
-        self._freed[shard.first] = Freed(move, handover)
+        self._freed[shard.first] = Freed(move, handover, clock.boottime())
 
     async def _release(self, shard: table.Shard, hold: Hold, now: float) -> str:
         """Returns the handover once nobody can hold the shard any more."""
@@ -257,6 +262,10 @@
     def _write_freed(self, candidates) -> None:
         if not self._freed or not candidates or not self._may_write():
             return
+        waiting = len(self._moving) > len(self._freed)
+        oldest = min(entry.freed_at for entry in self._freed.values())
+        if waiting and clock.boottime() - oldest < GATHER_SECONDS:
+            return
         owners = {candidate.owner for candidate in candidates}
         shards = list(self._table.shards)
         freed, self._freed = self._freed, {}
@@ -393,7 +402,9 @@
             return
         self._moving.add(shard.first)
         move = planner.Move(0, shard.owner, "a higher fence was seen")
-        self._freed[shard.first] = Freed(move, "", is_pinned=True)
+        self._freed[shard.first] = Freed(
+            move, "", clock.boottime(), is_pinned=True
+        )
 
     async def _probe(self, owner: table.Owner) -> None:
         while owner in self._silent and not self._stopped:
--- a/src/jujubeyard/ownership/planner.py
+++ b/src/jujubeyard/ownership/planner.py
@@ -15,14 +15,14 @@
 MAX_SHARDS = 512
 MAX_SPLIT_SHARDS = 640
 
-MIN_GAIN_CALLS = 0.15
+MIN_GAIN_CALLS = 0.2
 """Calls in the system that a move must save to be worth its interruption."""
 
 MOVE_SECONDS = 0.06
 """The same, for each call per second that is interrupted by the move."""
 
-MAX_BALANCE_MOVES = 3
-SOURCES = 3
+MAX_BALANCE_MOVES = 6
+SOURCES = 6
 DESTINATIONS = 4
 FULL_UTILISATION = 0.95
 OVERLOAD_SLOPE = 40.0
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -13,9 +13,12 @@
 DOUBTFUL_WATCH_SECONDS = 0.5
 """The same after a call without an answer: the store may return unnoticed."""
 
-BATCH_SECONDS = 0.3
+BATCH_SECONDS = 0.4
 """Pause after changes, so that changes in quick succession share a call."""
 
+PROMPT_BATCH_SECONDS = 0.1
+"""The same on the node that acts on the changes."""
+
 FIRST_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.5
 
@@ -40,6 +43,7 @@
     """Reads all items once, then watches for changes.
 
     Attributes:
+        is_prompt: Whether changes are wanted sooner, at the price of calls.
         revision: The store's revision that the listener knows; None before
             the first reading.
     """
@@ -49,6 +53,7 @@
         self._listener = listener
         self._pause = FIRST_PAUSE_SECONDS
         self._in_doubt = False
+        self.is_prompt = False
         self.revision: int | None = None
 
     async def run(self) -> None:
@@ -80,7 +85,8 @@
         self._note_answer()
         if outcome.ok_value.items:
             self._listener.take_changes(outcome.ok_value.items)
-            await asyncio.sleep(BATCH_SECONDS)
+            pause = PROMPT_BATCH_SECONDS if self.is_prompt else BATCH_SECONDS
+            await asyncio.sleep(pause)
         self.revision = max(self.revision, outcome.ok_value.revision)
 
     def _note_answer(self) -> None:
