--- /dev/null
+++ b/bench/node_costs.py
@@ -0,0 +1,151 @@
+"""Measures what a node's state and decisions cost as the system grows.
+
+Prints, for numbers of targets and routes, the memory of a node's tables, the
+time of the decisions on a call's path, of the leader's rounds, and the size of
+its records. Times are medians of repeated runs in this process.
+"""
+
+import random
+import statistics
+import time
+import tracemalloc
+
+import fire
+
+from jujubeyard.node import datagrams
+from jujubeyard.ownership import demand
+from jujubeyard.ownership import planner
+from jujubeyard.ownership import table
+from jujubeyard.routing import choice
+from jujubeyard.routing import coldstart
+from jujubeyard.routing import config
+from jujubeyard.routing import match
+from jujubeyard.targets import loads
+from jujubeyard.targets import registry
+
+MICROSECONDS = 1e6
+ZONES = ("z1", "z2", "z3")
+SLOTS = 6
+
+
+def _fill_registry(targets: int) -> registry.Registry:
+    made = registry.Registry()
+    for number in range(targets):
+        listing = registry.Listing(
+            f"i-{number:010x}",
+            "desk",
+            f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8080",
+            ZONES[number % len(ZONES)],
+            SLOTS,
+            False,
+            0.0,
+            1_776_851_943_024 + number,
+        )
+        made.put(listing, 0.0)
+        report = loads.LoadReport(number % SLOTS, 0, SLOTS, 1.0)
+        made.targets[listing.target_id].load.observe_report(report, 0.0)
+    return made
+
+
+def _make_routes(count: int) -> match.RouteTable:
+    routes = tuple(
+        config.Route(
+            f"r{number}",
+            f"h{number % 50}.example",
+            f"/p{number}/",
+            (config.Part("desk", 1.0),),
+            True,
+            1.0,
+            0.5,
+            2,
+            1,
+        )
+        for number in range(count)
+    )
+    return match.RouteTable(config.Configuration(1, routes, {}, 1))
+
+
+def _make_table(candidates) -> table.ShardTable:
+    return table.ShardTable("desk", planner.place_all(candidates, 1 << 40), 1)
+
+
+def _measure(call, repeats: int) -> float:
+    """Returns the median time of a call, in microseconds."""
+    times = []
+    for _ in range(repeats):
+        began = time.perf_counter()
+        call()
+        times.append(time.perf_counter() - began)
+    return statistics.median(times) * MICROSECONDS
+
+
+def _weigh(make) -> tuple[object, float]:
+    """Returns what was made and its memory, in KB."""
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    made = make()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return made, (after - before) / 1024
+
+
+def _measure_size(targets: int, repeats: int) -> dict[str, float]:
+    rng = random.Random(targets)
+    filled, registry_kb = _weigh(lambda: _fill_registry(targets))
+    routes, routes_kb = _weigh(lambda: _make_routes(targets * 4))
+    listed = filled.of_service("desk")
+    candidates = [
+        planner.Candidate(
+            table.Owner(t.listing.target_id, t.listing.born, t.listing.address),
+            rng.uniform(20.0, 60.0),
+            SLOTS,
+        )
+        for t in listed
+    ]
+    owners, table_kb = _weigh(lambda: _make_table(candidates))
+    rates = [rng.expovariate(0.2) for _ in owners.shards]
+    nodes = [f"n{number}" for number in range(targets)]
+    calls = {rng.randrange(demand.BUCKETS): 3 for _ in range(100)}
+    report = demand.Report("desk", calls, {"i-1": (3, 0.5)})
+    return {
+        "targets": targets,
+        "shards": len(owners.shards),
+        "registry_kb": registry_kb,
+        "routes_kb": routes_kb,
+        "table_kb": table_kb,
+        "record_bytes": len(table.encode(owners.shards)),
+        "report_bytes": len(datagrams.encode(report)),
+        "find_route_us": _measure(
+            lambda: routes.find("h7.example", "/p7/x"), repeats
+        ),
+        "find_owner_us": _measure(lambda: owners.find(40_000), repeats),
+        "choose_us": _measure(
+            lambda: choice.choose_target(listed, "z1", 0.1, rng), repeats
+        ),
+        "sponsors_us": _measure(
+            lambda: coldstart.choose_sponsors("i-1", nodes, 21.5), repeats
+        ),
+        "rebalance_us": _measure(
+            lambda: planner.rebalance(owners.shards, rates, candidates),
+            max(3, repeats // 20),
+        ),
+        "rehome_us": _measure(
+            lambda: planner.rehome(owners.shards, rates, candidates[1:], set()),
+            max(3, repeats // 20),
+        ),
+    }
+
+
+def main(repeats: int = 200) -> None:
+    """Measures at several sizes.
+
+    Args:
+        repeats: Runs of each decision.
+    """
+    rows = [_measure_size(size, repeats) for size in (20, 40, 140, 500)]
+    for name in rows[0]:
+        print(f"{name:14}" + "".join(f"{row[name]:12.1f}" for row in rows))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/tests/ownership/test_table.py
@@ -0,0 +1,70 @@
+"""The stored table of owners and its updates."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from jujubeyard import errors
+from jujubeyard.ownership import table
+
+OWNERS = [table.Owner(name, born, f"{name}:1") for name, born in ("a1", "b2")]
+
+
+def _table(count, revision=1):
+    shards = tuple(
+        table.Shard(first, last, OWNERS[i % 2], i + 1, "h" * (i % 3))
+        for i, (first, last) in enumerate(table.divide_keys(count))
+    )
+    return table.ShardTable("desk", shards, revision)
+
+
+@hypothesis.given(
+    count=strategies.integers(1, 512), key=strategies.integers(0, 65535)
+)
+def test_every_key_has_the_shard_that_holds_it(count, key):
+    shard = _table(count).find(key)
+    assert shard.first <= key <= shard.last
+
+
+def test_an_empty_table_has_no_shard():
+    assert table.ShardTable("desk", (), 0).find(5) is None
+
+
+def test_encoding_keeps_everything():
+    made = _table(7)
+    read = table.decode("desk", table.encode(made.shards), 1)
+    assert read.shards == made.shards
+
+
+@pytest.mark.parametrize("body", [b"", b"x", b"\xa0", b"\x80"])
+def test_malformed_records_are_refused(body):
+    with pytest.raises(errors.FormatError):
+        table.decode("desk", body, 1)
+
+
+def _changed(old, index):
+    shards = list(old.shards)
+    shards[index] = dataclasses.replace(
+        shards[index], owner=OWNERS[1], fence=99
+    )
+    return table.ShardTable("desk", tuple(shards), old.revision + 1)
+
+
+def test_an_update_carries_what_changed():
+    old = _table(8)
+    new = _changed(old, 2)
+    update = table.compare(old, new)
+    assert len(update.shards) == 1
+    assert table.apply_update(old, update).shards == new.shards
+
+
+def test_an_update_of_another_base_is_refused():
+    old = _table(8)
+    update = table.compare(old, _changed(old, 2))
+    assert table.apply_update(_table(8, revision=5), update) is None
+
+
+def test_tables_that_are_divided_differently_have_no_update():
+    assert table.compare(_table(8), _table(9, revision=2)) is None
--- /dev/null
+++ b/tests/targets/test_registry.py
@@ -0,0 +1,121 @@
+"""Targets as they are listed, leave, lapse and return."""
+
+import dataclasses
+
+import pytest
+
+from jujubeyard.targets import loads
+from jujubeyard.targets import registry
+
+LISTING = registry.Listing("t1", "desk", "10.0.0.1:1", "z1", 6, False, 0.0, 7)
+
+
+def _registry():
+    made = registry.Registry()
+    made.put(LISTING, 10.0)
+    return made
+
+
+def _listing(**changes):
+    return dataclasses.replace(LISTING, **changes)
+
+
+@pytest.mark.parametrize(
+    ("change", "is_open"),
+    [
+        pytest.param(lambda r: None, True, id="listed"),
+        pytest.param(
+            lambda r: r.put(_listing(draining=True), 11.0), False, id="draining"
+        ),
+        pytest.param(lambda r: r.remove("t1", 11.0), False, id="removed"),
+        pytest.param(
+            lambda r: r.set_evacuated("z1", True, 11.0), False, id="evacuated"
+        ),
+        pytest.param(
+            lambda r: r.set_evacuated("z2", True, 11.0), True, id="other zone"
+        ),
+        pytest.param(lambda r: r.keep_only(set(), 11.0), False, id="unread"),
+    ],
+)
+def test_who_may_be_given_work(change, is_open):
+    made = _registry()
+    change(made)
+    assert made.is_open(made.targets["t1"], 11.5) is is_open
+
+
+@pytest.mark.parametrize(
+    ("age", "is_open"), [(0.5, True), (1.9, True), (2.1, False)]
+)
+def test_entries_that_lapse_in_an_outage_are_used_for_two_seconds(age, is_open):
+    made = _registry()
+    made.note_outage(19.0)
+    made.remove("t1", 20.0)
+    assert made.is_open(made.targets["t1"], 20.0 + age) is is_open
+
+
+def test_entries_that_go_while_the_store_answers_are_gone():
+    made = _registry()
+    made.note_outage(10.0)
+    made.remove("t1", 20.0)
+    assert not made.is_open(made.targets["t1"], 20.0)
+
+
+def test_a_lapsed_target_returns():
+    made = _registry()
+    made.note_outage(19.0)
+    made.remove("t1", 20.0)
+    made.put(LISTING, 21.0)
+    assert made.is_open(made.targets["t1"], 30.0)
+
+
+def test_another_life_begins_anew():
+    made = _registry()
+    made.targets["t1"].load.in_flight = 3
+    assert made.put(_listing(born=8), 12.0)
+    assert made.targets["t1"].load.in_flight == 0
+    assert not made.put(_listing(born=8), 13.0)
+
+
+def test_cold_targets_warm_up():
+    made = _registry()
+    made.put(_listing(cold_seconds=3.0), 12.0)
+    target = made.targets["t1"]
+    assert target.is_cold(14.9)
+    assert not target.is_cold(15.1)
+
+
+def test_services_are_indexed():
+    made = _registry()
+    made.put(_listing(target_id="t2", service="book"), 11.0)
+    names = [t.listing.target_id for t in made.of_service("book")]
+    assert names == ["t2"]
+
+
+def test_targets_that_left_long_ago_are_forgotten():
+    made = _registry()
+    made.remove("t1", 20.0)
+    assert made.forget_old(30.0) == []
+    assert made.forget_old(100.0) == ["t1"]
+
+
+@pytest.mark.parametrize(
+    ("running", "waiting", "age", "own", "busy"),
+    [
+        (6, 4, 0.0, 0, 9.0),
+        (6, 4, 0.4, 0, 4.5),
+        (6, 4, 0.0, 2, 11.0),
+        (1, 0, 0.0, 0, 0.0),
+    ],
+)
+def test_reports_lose_weight_with_age(running, waiting, age, own, busy):
+    load = loads.TargetLoad()
+    load.observe_report(loads.LoadReport(running, waiting, 6, 1.0), 10.0)
+    load.in_flight = own
+    assert load.busy(10.0 + age) == pytest.approx(busy)
+
+
+def test_times_are_learnt_without_waits():
+    load = loads.TargetLoad()
+    for _ in range(50):
+        load.observe_success(0.6, 2.0)
+    assert load.work_seconds == pytest.approx(0.2)
