--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -23,7 +23,7 @@
 from jujubeyard.node import tasks
 from jujubeyard.node import upstream
 from jujubeyard.node import view
-from jujubeyard.ownership import keeper
+from jujubeyard.ownership import courier
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import table
 from jujubeyard.platform import changes
@@ -140,7 +140,7 @@
             self._view.take_update,
             notes,
         )
-        courier = keeper.Courier(
+        carrier = courier.Courier(
             self._store,
             self._order_session,
             orders.Speech(self._health_path),
@@ -153,7 +153,7 @@
             self._leadership,
             self._view,
             around,
-            courier,
+            carrier,
             self._mirror,
             cfg.limits.max_hold,
         )
@@ -223,7 +223,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._view.registry.forget_old(time.monotonic())
-            self._forwarder.forget()
+            self._forwarder.owners.forget()
 
     def _start(
         self,
--- a/src/jujubeyard/node/tasks.py
+++ b/src/jujubeyard/node/tasks.py
@@ -7,6 +7,7 @@
 from jujubeyard.node import journal
 from jujubeyard.node import surroundings
 from jujubeyard.node import view
+from jujubeyard.ownership import courier
 from jujubeyard.ownership import keeper
 from jujubeyard.ownership import leader
 from jujubeyard.store import mirror
@@ -76,14 +77,14 @@
         leadership: leader.Leadership,
         known: view.View,
         around: surroundings.Surroundings,
-        courier: keeper.Courier,
+        carrier: courier.Courier,
         followed: mirror.Mirror,
         max_hold_seconds: float,
     ):
         self._leadership = leadership
         self._mirror = followed
         self._view = known
-        self._courier = courier
+        self._courier = carrier
         self._max_hold_seconds = max_hold_seconds
         self._around = around
         self._term = 0
