Use a target that isn't listed for a shorter time after an outage

Ruled out: a watch that came late; all nodes saw the removal within 0.33 s. Change: an entry may have lapsed only until 2 s after the store's return, and its target is used for at most 1.2 s, below the 2 s of a drain.

--- a/src/jujubeyard/node/view.py
+++ b/src/jujubeyard/node/view.py
@@ -130,7 +130,6 @@
 
     def note_outage(self, failure: ports.Failure) -> None:
         """Learns that the store did not answer."""
-        self.registry.note_outage(time.monotonic())
         if self.store_answers:
             self._notes.note("store lost", detail=failure.detail)
         self.store_answers = False
@@ -138,6 +137,7 @@
     def note_answer(self) -> None:
         """Learns that the store answers."""
         if not self.store_answers:
+            self.registry.note_return(time.monotonic())
             self._notes.note("store regained")
         self.store_answers = True
 
--- a/src/jujubeyard/targets/registry.py
+++ b/src/jujubeyard/targets/registry.py
@@ -4,11 +4,11 @@
 
 from jujubeyard.targets import loads
 
-LAPSE_GRACE_SECONDS = 2.0
-"""Entries that lapse in an outage of the store return within this time."""
+RETURN_SECONDS = 2.0
+"""Entries that lapsed in an outage are back so soon after the store is."""
 
-OUTAGE_MEMORY_SECONDS = 4.0
-"""How long after an outage a missing entry may be its effect."""
+LAPSE_GRACE_SECONDS = 1.2
+"""Longest use of a target that isn't listed; less than a drain may last."""
 
 FORGET_SECONDS = 60.0
 
@@ -84,11 +84,11 @@
         self.version = 0
         self._by_service: dict[str, list[Target]] = {}
         self._indexed_version = -1
-        self._outage_at = float("-inf")
+        self._returned_at = float("-inf")
 
-    def note_outage(self, now: float) -> None:
-        """Notes that the store did not answer."""
-        self._outage_at = now
+    def note_return(self, now: float) -> None:
+        """Notes that the store answers after an outage."""
+        self._returned_at = now
 
     def put(self, listing: Listing, now: float) -> bool:
         """Takes a listing; returns whether it is another life of a target."""
@@ -114,9 +114,10 @@
             return
         self.version += 1
         found.gone_at = now
-        found.usable_until = now
-        if now - self._outage_at < OUTAGE_MEMORY_SECONDS:
-            found.usable_until = now + LAPSE_GRACE_SECONDS
+        found.usable_until = min(
+            now + LAPSE_GRACE_SECONDS,
+            max(now, self._returned_at + RETURN_SECONDS),
+        )
 
     def keep_only(self, target_ids: set[str], now: float) -> None:
         """Removes all targets but those named."""
--- a/tests/targets/test_registry.py
+++ b/tests/targets/test_registry.py
@@ -44,25 +44,33 @@
 
 
 @pytest.mark.parametrize(
-    ("age", "is_open"), [(0.5, True), (1.9, True), (2.1, False)]
+    ("returned", "age", "is_open"),
+    [
+        pytest.param(19.9, 0.5, True, id="lapsed"),
+        pytest.param(19.9, 1.1, True, id="lapsed, still waited for"),
+        pytest.param(19.9, 1.5, False, id="a drain may end by then"),
+        pytest.param(18.5, 0.4, True, id="seen late"),
+        pytest.param(18.5, 0.6, False, id="two seconds after the return"),
+        pytest.param(16.5, 0.0, False, id="gone long after the return"),
+    ],
 )
-def test_entries_that_lapse_in_an_outage_are_used_for_two_seconds(age, is_open):
+def test_entries_that_lapse_in_an_outage(returned, age, is_open):
     made = _registry()
-    made.note_outage(19.0)
+    made.note_return(returned)
     made.remove("t1", 20.0)
     assert made.is_open(made.targets["t1"], 20.0 + age) is is_open
 
 
 def test_entries_that_go_while_the_store_answers_are_gone():
     made = _registry()
-    made.note_outage(10.0)
+    made.note_return(10.0)
     made.remove("t1", 20.0)
     assert not made.is_open(made.targets["t1"], 20.0)
 
 
 def test_a_lapsed_target_returns():
     made = _registry()
-    made.note_outage(19.0)
+    made.note_return(19.9)
     made.remove("t1", 20.0)
     made.put(LISTING, 21.0)
     assert made.is_open(made.targets["t1"], 30.0)
