Add a soak: real nodes under faults from outside, with stand-ins of the platform

What was missing: nothing outside the users' bench ran jujubeyard-node as processes under faults. platform_standins/ speaks the platform's published protocol (store with leases, watches, conditions, lost and late writes, lapsing or pausing leases; targets with fences, handovers, cold starts, late orders, spoilt answers). soak/ runs four nodes as processes against them, with links through a loopback proxy (delay, reset, silence one way or both), signals (TERM, KILL, STOP, HUP) and a slow clock at targets, draws faults from a seed, in series and overlapping, and checks owners, fences, single runs, refusals, whole answers, stops, drains, evacuations, cold targets, the retry budget, versions and recovery from what callers and targets saw. Calls use kept and fresh connections until a node is gone.

The node reads no time of day for decisions, so the clocks that misbehave are the targets' (2% slow) and those of stopped processes.

--- /dev/null
+++ b/platform_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform, in the soak's own process."""
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real nodes as processes, faults from outside them."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,14 @@
+"""Runs the soak."""
+
+import sys
+
+from soak import core
+
+
+def main() -> None:
+    """Runs the soak and exits with its status."""
+    sys.exit(int(core.main()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/core.py
@@ -0,0 +1,186 @@
+"""Runs soaks: a fleet under load, faults in series, and the checks."""
+
+import asyncio
+import dataclasses
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+from jujubeyard import context
+from jujubeyard import status
+from jujubeyard.internal import command
+from soak import callers
+from soak import checks
+from soak import faults
+from soak import fleet
+from soak import record
+
+PROGRAM = "soak"
+UP_SECONDS = 15.0
+"""Longest time until a new fleet serves calls."""
+
+RECOVER_SECONDS = 15.0
+FAULT_SECONDS = 25.0
+PAUSE_SECONDS = (0.3, 2.0)
+"""Shortest and longest pause between the begins of two faults."""
+
+MOST_FAULTS = 4
+"""Faults that are in force at a time."""
+
+MOST_SEEDS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a soak showed.
+
+    Attributes:
+        seed: Its seed.
+        findings: Promises that were broken.
+        calls: Number of calls.
+        served: Share of them that were served.
+        recovery_seconds: Time after the faults until calls were served.
+    """
+
+    seed: int
+    findings: list[record.Finding]
+    calls: int
+    served: float
+    recovery_seconds: float
+
+
+def main(
+    args: list[str] | None = None, env: context.Environment | None = None
+) -> status.ExitStatus:
+    """Runs the command line."""
+    env = env or context.Environment()
+
+    def run(
+        first: int = 1,
+        count: int = 1,
+        seconds: float = FAULT_SECONDS,
+        only: str = "",
+        directory: str = "",
+    ) -> status.ExitStatus:
+        """Runs seeds one after the other.
+
+        Args:
+            first: First seed.
+            count: Number of seeds.
+            seconds: How long faults are put in, for each seed.
+            only: Names of faults, divided by commas; all if empty.
+            directory: Where logs are kept; a temporary one if empty.
+        """
+        base = directory or tempfile.mkdtemp(prefix="soak-")
+        chosen = tuple(filter(None, str(only).split(",")))
+        outcomes = []
+        for seed in range(first, first + min(count, MOST_SEEDS)):
+            place = pathlib.Path(base) / f"seed-{seed}"
+            outcomes.append(run_seed(seed, place, seconds, chosen))
+            _show(outcomes[-1], env)
+        env.stdout.write(f"logs: {base}\n")
+        broken = sum(bool(outcome.findings) for outcome in outcomes)
+        env.stdout.write(f"{broken} of {len(outcomes)} seeds with findings\n")
+        failed = status.ExitStatus.ERROR
+        return failed if broken else status.ExitStatus.SUCCESS
+
+    args = sys.argv[1:] if args is None else args
+    return command.run_command(PROGRAM, run, args, env)
+
+
+def _show(outcome: Outcome, env: context.Environment) -> None:
+    env.stdout.write(
+        f"seed {outcome.seed}: {outcome.calls} calls, "
+        f"{outcome.served:.3f} served, "
+        f"recovered in {outcome.recovery_seconds:.1f} s, "
+        f"{len(outcome.findings)} findings\n"
+    )
+    for finding in outcome.findings:
+        env.stdout.write(f"  {finding}\n")
+    env.stdout.flush()
+
+
+def run_seed(
+    seed: int,
+    directory: pathlib.Path,
+    seconds: float = FAULT_SECONDS,
+    only: tuple[str, ...] = (),
+) -> Outcome:
+    """Runs a soak.
+
+    Args:
+        seed: Seeds load and faults.
+        directory: Where settings and logs go.
+        seconds: How long faults are put in.
+        only: Names of the faults; all if empty.
+    """
+    directory.mkdir(parents=True, exist_ok=True)
+    return asyncio.run(_run(seed, directory, seconds, only))
+
+
+async def _run(seed, directory, seconds, only) -> Outcome:
+    rng = random.Random(seed)
+    running = fleet.Fleet(random.Random(rng.random()), directory)
+    world = faults.World(running, rng)
+    world.configure()
+    balancer = callers.Balancer(running, random.Random(rng.random()))
+    load = callers.Callers(running, balancer, random.Random(rng.random()))
+    jobs = (balancer.run, load.run, callers.Prober(running).run)
+    tasks = []
+    try:
+        await running.start()
+        tasks = [asyncio.create_task(job()) for job in jobs]
+        await _wait_served(running.record, UP_SECONDS)
+        await _put_faults(world, seconds, only)
+        recovery = await _wait_served(running.record, RECOVER_SECONDS)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await running.stop()
+    return _conclude(seed, running.record, recovery)
+
+
+async def _put_faults(world: faults.World, seconds: float, only) -> None:
+    chosen = [faults.ALL[name] for name in only or faults.ALL]
+    end = time.monotonic() + seconds
+    running: dict[asyncio.Task, faults.Fault] = {}
+    while time.monotonic() < end:
+        await world.wait(*PAUSE_SECONDS)
+        running = {t: f for t, f in running.items() if not t.done()}
+        fault = world.rng.choice(chosen)
+        is_taken = fault in faults.ALONE and any(
+            other in faults.ALONE for other in running.values()
+        )
+        if is_taken or len(running) >= MOST_FAULTS:
+            continue
+        running[asyncio.create_task(fault(world))] = fault
+    if running:
+        await asyncio.gather(*running)
+
+
+async def _wait_served(seen: record.Record, limit: float) -> float:
+    """Waits until calls are served again; returns how long it took."""
+    began = time.monotonic()
+    window = checks.RECOVERY_WINDOW_SECONDS
+    while True:
+        await asyncio.sleep(window / 4)
+        now = time.monotonic()
+        start, end = now - 1.5 * window, now - window / 2
+        share = checks.served_share(seen, start, end)
+        if start >= began and share >= checks.RECOVERED_SHARE:
+            return start - began
+        if start - began > limit:
+            seen.report(
+                record.Rule.RECOVERY, now, f"{share:.2f} of the calls served"
+            )
+            return start - began
+
+
+def _conclude(seed: int, seen: record.Record, recovery: float) -> Outcome:
+    findings = checks.check_all(seen)
+    rows = [s for s in seen.sendings.values() if s.call_id.startswith("c")]
+    served = sum(row.status == 200 for row in rows) / max(len(rows), 1)
+    return Outcome(seed, findings, len(rows), served, recovery)
--- /dev/null
+++ b/soak/link.py
@@ -0,0 +1,155 @@
+"""A loopback proxy whose connections can be delayed, reset or silenced."""
+
+import asyncio
+import socket
+
+from jujubeyard.node import upstream
+
+
+class Link:
+    """Carries connections from a public address to a real one.
+
+    Bytes that a silenced link holds are lost if either end closes.
+
+    Attributes:
+        delay_seconds: Delay of what is carried.
+        is_refusing: Whether new connections are reset.
+    """
+
+    def __init__(self, real: tuple[str, int]):
+        self._real = real
+        self._server: asyncio.Server | None = None
+        self._sides: set[_Side] = set()
+        self._silent: set[bool] = set()
+        self.delay_seconds = 0.0
+        self.is_refusing = False
+
+    async def start(self, host: str, port: int) -> None:
+        """Starts to listen."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Side(self, inward=True), host, port, reuse_address=True
+        )
+
+    def close(self) -> None:
+        """Resets all connections and takes no more."""
+        self._server.close()
+        self.reset()
+
+    def reset(self) -> None:
+        """Resets all connections."""
+        for side in list(self._sides):
+            side.abort()
+
+    def silence(self, inward: bool, outward: bool) -> None:
+        """Holds what is carried towards the real address, or back."""
+        self._silent = {
+            direction
+            for direction, chosen in ((True, inward), (False, outward))
+            if chosen
+        }
+        for side in list(self._sides):
+            side.flush()
+
+    def is_silent(self, inward: bool) -> bool:
+        """Returns whether bytes of a direction are held."""
+        return inward in self._silent
+
+    def add(self, side: "_Side") -> None:
+        """Takes a side of a new connection."""
+        self._sides.add(side)
+
+    def discard(self, side: "_Side") -> None:
+        """Drops a side of a connection that has ended."""
+        self._sides.discard(side)
+
+    async def connect(self, side: "_Side") -> None:
+        """Connects the other side of a new connection."""
+        loop = asyncio.get_running_loop()
+        other = _Side(self, inward=False)
+        other.peer = side
+        try:
+            await loop.create_connection(lambda: other, *self._real)
+        except OSError:
+            side.abort()
+            return
+        side.peer = other
+        side.flush()
+
+
+class _Side(asyncio.Protocol):
+    """One end of a connection; what it reads goes to its peer."""
+
+    def __init__(self, link: Link, inward: bool):
+        self._link = link
+        self._inward = inward
+        self._held = bytearray()
+        self._transport: asyncio.Transport | None = None
+        self._connecting: asyncio.Task | None = None
+        self._is_done = False
+        self.peer: _Side | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the transport; an accepted connection connects its peer."""
+        self._transport = transport
+        if self._inward and self._link.is_refusing:
+            self.abort()
+            return
+        self._link.add(self)
+        if self._inward:
+            coro = self._link.connect(self)
+            self._connecting = asyncio.get_running_loop().create_task(coro)
+
+    def data_received(self, data: bytes) -> None:
+        """Carries bytes, now or later."""
+        delay = self._link.delay_seconds
+        if delay:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, self._carry, data)
+        else:
+            self._carry(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the peer in the same way."""
+        self._link.discard(self)
+        self._is_done = True
+        if self.peer is not None:
+            self.peer.end(abort=exc is not None or bool(self._held))
+
+    def flush(self) -> None:
+        """Carries what was held, unless the link is silent."""
+        if self._held:
+            data = bytes(self._held)
+            self._held.clear()
+            self._carry(data)
+
+    def abort(self) -> None:
+        """Resets the connection."""
+        if self._transport is not None:
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, upstream.LINGER_OFF
+            )
+            self._transport.abort()
+
+    def end(self, abort: bool) -> None:
+        """Ends the connection because its peer has ended."""
+        if self._transport is None:
+            return
+        if abort or self._link.is_silent(not self._inward):
+            self.abort()
+        else:
+            self._transport.close()
+
+    def _carry(self, data: bytes) -> None:
+        if self._is_done:
+            return
+        if self.peer is None or self._link.is_silent(self._inward):
+            self._held += data
+            return
+        self.peer.write(data)
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes that the peer has read."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
--- /dev/null
+++ b/tests/soak/test_link.py
@@ -0,0 +1,87 @@
+"""The loopback proxy of the soak."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from soak import link
+
+PORTS = itertools.count(18200)
+HOST = "127.77.0.1"
+
+
+async def _echo(reader, writer):
+    while data := await reader.read(1000):
+        writer.write(data)
+    writer.close()
+
+
+@pytest.fixture
+async def linked():
+    server = await asyncio.start_server(_echo, HOST, next(PORTS))
+    made = link.Link(server.sockets[0].getsockname())
+    port = next(PORTS)
+    await made.start(HOST, port)
+    yield made, port
+    made.close()
+    server.close()
+
+
+async def _ask(reader, writer, seconds=0.3):
+    writer.write(b"x")
+    async with asyncio.timeout(seconds):
+        return await reader.read(100)
+
+
+async def test_bytes_go_both_ways(linked):
+    _, port = linked
+    reader, writer = await asyncio.open_connection(HOST, port)
+    assert await _ask(reader, writer) == b"x"
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    ("inward", "outward"), [(True, False), (False, True), (True, True)]
+)
+async def test_silenced_bytes_arrive_once_it_is_healed(linked, inward, outward):
+    made, port = linked
+    reader, writer = await asyncio.open_connection(HOST, port)
+    assert await _ask(reader, writer) == b"x"
+    made.silence(inward, outward)
+    with pytest.raises(TimeoutError):
+        await _ask(reader, writer)
+    made.silence(False, False)
+    async with asyncio.timeout(1.0):
+        assert await reader.read(100) == b"x"
+    writer.close()
+
+
+async def test_reset_ends_connections(linked):
+    made, port = linked
+    reader, writer = await asyncio.open_connection(HOST, port)
+    assert await _ask(reader, writer) == b"x"
+    made.reset()
+    with pytest.raises(ConnectionResetError):
+        await _ask(reader, writer, 1.0)
+    writer.close()
+
+
+async def test_refusing_takes_no_connection(linked):
+    made, port = linked
+    made.is_refusing = True
+    reader, writer = await asyncio.open_connection(HOST, port)
+    with pytest.raises(ConnectionError):
+        await _ask(reader, writer)
+
+
+async def test_delayed_bytes_keep_their_order(linked):
+    made, port = linked
+    made.delay_seconds = 0.05
+    reader, writer = await asyncio.open_connection(HOST, port)
+    for number in range(5):
+        writer.write(bytes([65 + number]))
+        await asyncio.sleep(0.01)
+    async with asyncio.timeout(1.0):
+        assert await reader.readexactly(5) == b"ABCDE"
+    writer.close()
