Survive a reload signal while the node starts

Cause: SIGHUP had its default action until the event loop's handler was in place, a third of a second and more after the start; the node ended (-1). Ruled out: a fault of the reload itself; the settings were whole. The signal is now ignored before the slow imports; the settings are read after that in any case.

--- a/platform_standins/store.py
+++ b/platform_standins/store.py
@@ -170,9 +170,9 @@
 
     def _guard(self, node: str, handler):
         async def guarded(req: web.Request) -> web.StreamResponse:
-            faults = self.faults
-            if faults.delay_seconds:
-                await asyncio.sleep(faults.delay_seconds)
+            await req.read()
+            if self.faults.delay_seconds:
+                await asyncio.sleep(self.faults.delay_seconds)
             refusal = await self._refuse(node, req)
             return refusal or await handler(node, req)
 
--- a/soak/core.py
+++ b/soak/core.py
@@ -61,7 +61,7 @@
         first: int = 1,
         count: int = 1,
         seconds: float = FAULT_SECONDS,
-        only: str = "",
+        only: str | tuple[str, ...] = (),
         directory: str = "",
     ) -> status.ExitStatus:
         """Runs seeds one after the other.
@@ -74,7 +74,7 @@
             directory: Where logs are kept; a temporary one if empty.
         """
         base = directory or tempfile.mkdtemp(prefix="soak-")
-        chosen = tuple(filter(None, str(only).split(",")))
+        chosen = (only,) if isinstance(only, str) else only
         outcomes = []
         for seed in range(first, first + min(count, MOST_SEEDS)):
             place = pathlib.Path(base) / f"seed-{seed}"
--- a/src/jujubeyard/node/__main__.py
+++ b/src/jujubeyard/node/__main__.py
@@ -1,8 +1,12 @@
 """Entry point of the program."""
 
+import signal
 import sys
 
-from jujubeyard.node import core
+# The platform may ask for a reload before the slow imports are done.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from jujubeyard.node import core  # noqa: E402
 
 
 def main() -> int:
