Rank the nodes for a cold target once, not for each call

Cause: each call that looked at a cold target hashed and sorted the names of all nodes; 400 looks by 300 nodes took 17 s in the test of the bound.

--- a/src/jujubeyard/routing/coldstart.py
+++ b/src/jujubeyard/routing/coldstart.py
@@ -59,12 +59,13 @@
         self._node = node
         self._bound = bound
         self._last_sent: dict[str, float] = {}
+        self._sponsored: dict[str, tuple[frozenset[str], float, bool]] = {}
 
     def may_send(
         self,
         target_id: str,
         rate: float,
-        nodes: collections.abc.Iterable[str],
+        nodes: collections.abc.Set[str],
         now: float,
     ) -> bool:
         """Returns whether this node may send a call to a cold target now.
@@ -78,8 +79,18 @@
         last = self._last_sent.get(target_id)
         if last is not None and now - last < CALM_PAUSE_SECONDS:
             return False
+        return self._is_sponsor(target_id, rate, nodes)
+
+    def _is_sponsor(
+        self, target_id: str, rate: float, nodes: collections.abc.Set[str]
+    ) -> bool:
+        known = self._sponsored.get(target_id)
+        if known is not None and known[0] == nodes and known[1] == rate:
+            return known[2]
         bound = self._bound.per_second(rate)
-        return self._node in choose_sponsors(target_id, nodes, bound)
+        is_sponsor = self._node in choose_sponsors(target_id, nodes, bound)
+        self._sponsored[target_id] = (frozenset(nodes), rate, is_sponsor)
+        return is_sponsor
 
     def count(self, target_id: str, now: float) -> None:
         """Counts a call that is being sent."""
@@ -88,3 +99,4 @@
     def forget(self, target_id: str) -> None:
         """Drops a target that is gone."""
         self._last_sent.pop(target_id, None)
+        self._sponsored.pop(target_id, None)
--- a/tests/routing/test_routing_tables.py
+++ b/tests/routing/test_routing_tables.py
@@ -95,7 +95,7 @@
 @pytest.mark.parametrize("rate", [2.0, 11.0])
 def test_all_nodes_together_stay_within_what_a_cold_target_bears(nodes, rate):
     bound = coldstart.ColdBound(1.5, 5.0)
-    names = [f"n{i}" for i in range(nodes)]
+    names = {f"n{i}" for i in range(nodes)}
     pacers = [coldstart.ColdPacer(name, bound) for name in names]
     sent = []
     for tick in range(400):
