--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format prove mutants bench bench-path capacity clean
+.PHONY: demo test lint format prove mutants soak bench bench-path capacity clean
 
 $(STAMP): requirements.lock pyproject.toml
 	python3.11 -m venv $(VENV)
@@ -22,6 +22,9 @@
 mutants: $(STAMP)
 	$(BIN)/python -m scripts.mutants
 
+soak: $(STAMP)
+	$(BIN)/python -m soak --first $$(date +%s) --count 5
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
