Estimate work times with the service's mean; refuse only what is hopeless

Cause: a node sees about one call a second of a target, with times that differ by a factor of two and more, and took the last six or so for its speed. The targets that seemed slow were refused (429) or passed over for nothing. The mean of the service now counts as five calls beside a target's own.

Then the bound: a refused call seldom comes back in time.

--- a/src/jujubeyard/node/datagrams.py
+++ b/src/jujubeyard/node/datagrams.py
@@ -15,6 +15,9 @@
 from jujubeyard.targets import loads
 
 MAX_BYTES = 1400
+MAX_UPDATE_SHARDS = 20
+"""Shards that fit into a datagram if each has another owner."""
+
 REPORT = "report"
 UPDATE = "update"
 
@@ -72,6 +75,7 @@
             message.service,
             message.base,
             message.revision,
+            message.parts,
             [[o.target_id, o.born, o.address] for o in owners],
             [
                 [shard.first, shard.last, places[shard.owner], shard.fence]
@@ -140,13 +144,15 @@
     )
 
 
-def _read_update(service, base, revision, owners, rows) -> table.Update:
+def _read_update(service, base, revision, parts, owners, rows) -> table.Update:
     named = [table.Owner(*row) for row in owners]
     shards = tuple(
         table.Shard(first, last, named[place], fence, "")
         for first, last, place, fence in rows
     )
-    return table.Update(str(service), int(base), int(revision), shards)
+    return table.Update(
+        str(service), int(base), int(revision), shards, int(parts)
+    )
 
 
 def _read_beacon(tables, items) -> Beacon:
--- a/src/jujubeyard/node/following.py
+++ b/src/jujubeyard/node/following.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import random
 import time
 
@@ -56,11 +57,14 @@
         self._heard_at = float("-inf")
         self._behind_since: dict[str, float] = {}
         self._read_at: dict[str, float] = {}
+        self._parts: dict[str, list[table.Update]] = {}
 
     def take_update(self, update: table.Update) -> None:
-        """Takes what the leader has written."""
+        """Takes what the leader has written, or a part of it."""
         self._heard_at = time.monotonic()
-        self._view.take_update(update)
+        whole = self._gather(update)
+        if whole is not None:
+            self._view.take_update(whole)
         self._compare(update.service, update.revision)
 
     def take_beacon(self, beacon: datagrams.Beacon) -> None:
@@ -90,6 +94,19 @@
                 if self._is_due(service, time.monotonic()):
                     await self._read(service)
 
+    def _gather(self, part: table.Update) -> table.Update | None:
+        """Returns a whole update once all of its parts have come."""
+        parts = self._parts.get(part.service, [])
+        if parts and parts[0].revision != part.revision:
+            parts = []
+        parts = [*parts, part]
+        if len(parts) < part.parts:
+            self._parts[part.service] = parts
+            return None
+        self._parts.pop(part.service, None)
+        shards = tuple(shard for each in parts for shard in each.shards)
+        return dataclasses.replace(part, shards=shards, parts=1)
+
     def _compare(self, service: str, revision: int) -> None:
         known = self._view.tables.get(service)
         if revision <= (known.revision if known else 0):
--- a/src/jujubeyard/node/reporting.py
+++ b/src/jujubeyard/node/reporting.py
@@ -95,15 +95,10 @@
             self._tell_loads()
 
     def spread(self, update: table.Update) -> None:
-        """Sends an update to all nodes that have reported of late.
-
-        One that is too long for a datagram is only announced.
-        """
-        data = datagrams.encode(update)
-        if len(data) <= datagrams.MAX_BYTES:
-            self._send_to_peers(data)
-        else:
-            self._beacon()
+        """Sends an update to all nodes that have reported of late."""
+        most = datagrams.MAX_UPDATE_SHARDS
+        for part in table.divide_update(update, most):
+            self._send_to_peers(datagrams.encode(part))
 
     def _beacon(self) -> None:
         beacon = self._make_beacon()
--- a/src/jujubeyard/ownership/table.py
+++ b/src/jujubeyard/ownership/table.py
@@ -68,19 +68,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Update:
-    """What a write changed in a table.
+    """What a write changed in a table, or a part of that.
 
     Attributes:
         service: Name of the service.
         base: Revision of the table before.
         revision: Its revision after.
         shards: The shards that changed.
+        parts: Number of parts that the change is told in.
     """
 
     service: str
     base: int
     revision: int
     shards: tuple[Shard, ...]
+    parts: int = 1
 
 
 def compare(old: ShardTable, new: ShardTable) -> Update:
@@ -90,6 +92,24 @@
     return Update(new.service, old.revision, new.revision, changed)
 
 
+def divide_update(update: Update, most: int) -> list[Update]:
+    """Returns an update in parts.
+
+    Args:
+        update: The update.
+        most: Largest number of shards in a part.
+    """
+    starts = range(0, max(len(update.shards), 1), most)
+    return [
+        dataclasses.replace(
+            update,
+            shards=update.shards[start : start + most],
+            parts=len(starts),
+        )
+        for start in starts
+    ]
+
+
 def apply_update(known: ShardTable, update: Update) -> ShardTable | None:
     """Returns the table after an update, or None if it has another base."""
     if known.revision != update.base:
--- a/src/jujubeyard/routing/admission.py
+++ b/src/jujubeyard/routing/admission.py
@@ -6,7 +6,7 @@
 
 from jujubeyard.targets import registry
 
-LATE_FACTOR = 1.3
+LATE_FACTOR = 2.0
 """Multiple of a route's objective beyond which a wait isn't begun."""
 
 MIN_RETRY_SECONDS = 0.1
--- a/src/jujubeyard/targets/loads.py
+++ b/src/jujubeyard/targets/loads.py
@@ -5,7 +5,16 @@
 REPORT_HALF_LIFE_SECONDS = 0.4
 """Age at which a report counts half."""
 
-SPEED_SMOOTHING = 0.15
+SIZE_SMOOTHING = 0.15
+WORK_KEPT = 0.9
+"""What earlier calls of a target count for with each new one."""
+
+MEAN_WORK_KEPT = 0.995
+"""The same for all targets of a service together."""
+
+PRIOR_CALLS = 5.0
+"""Calls of mean time that count beside those that were seen of a target."""
+
 FAILURE_SMOOTHING = 0.2
 INITIAL_WORK_SECONDS = 0.15
 
@@ -42,6 +51,37 @@
     age_seconds: float
 
 
+@dataclasses.dataclass(slots=True)
+class WorkMean:
+    """Mean time of calls without their waits, recent ones counting more.
+
+    Attributes:
+        kept: What earlier calls count for with each new one.
+        calls: Weight of the calls that were seen.
+        seconds: Sum of their times, weighted alike.
+    """
+
+    kept: float
+    calls: float = 0.0
+    seconds: float = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Takes the time of a call."""
+        self.calls = self.calls * self.kept + 1.0
+        self.seconds = self.seconds * self.kept + seconds
+
+    def mean(self) -> float:
+        """Returns the mean time, in seconds."""
+        if not self.calls:
+            return INITIAL_WORK_SECONDS
+        return self.seconds / self.calls
+
+
+def make_service_mean() -> WorkMean:
+    """Returns the mean of all targets of a service, before any call."""
+    return WorkMean(MEAN_WORK_KEPT)
+
+
 @dataclasses.dataclass(slots=True)
 class TargetLoad:
     """A node's view of one target's load.
@@ -52,7 +92,8 @@
         reported_at: When it came, in monotonic seconds.
         seen_at: When this node's own latest report came.
         own_at_report: This node's calls in flight when it came.
-        work_seconds: Smoothed time of a call, without its wait for a slot.
+        service_work: Times of calls at all targets of the service.
+        work: Times of calls at this one.
         failures: Smoothed share of calls that failed.
         unreachable_until: Until when connections aren't tried again.
         answer_bytes: Smoothed size of its answers.
@@ -64,7 +105,12 @@
     reported_at: float = 0.0
     seen_at: float = 0.0
     own_at_report: int = 0
-    work_seconds: float = 0.0
+    service_work: WorkMean = dataclasses.field(
+        default_factory=make_service_mean
+    )
+    work: WorkMean = dataclasses.field(
+        default_factory=lambda: WorkMean(WORK_KEPT)
+    )
     failures: float = 0.0
     avoid_until: float = 0.0
     unreachable_until: float = 0.0
@@ -100,15 +146,14 @@
             Its time without the wait for a slot, in seconds.
         """
         work = seconds / (1.0 + ahead)
-        if not self.work_seconds:
-            self.work_seconds = work
-        self.work_seconds += SPEED_SMOOTHING * (work - self.work_seconds)
+        self.work.observe(work)
+        self.service_work.observe(work)
         self.failures -= FAILURE_SMOOTHING * self.failures
         return work
 
     def observe_size(self, size: int) -> None:
         """Takes the size of an answer."""
-        self.answer_bytes += SPEED_SMOOTHING * (size - self.answer_bytes)
+        self.answer_bytes += SIZE_SMOOTHING * (size - self.answer_bytes)
 
     def observe_failure(self) -> None:
         """Counts a call that failed."""
@@ -134,5 +179,13 @@
 
     def expected_seconds(self, slots: int, now: float) -> float:
         """Returns the estimated time of one more call, in seconds."""
-        work = self.work_seconds or INITIAL_WORK_SECONDS
-        return work * (1.0 + self.ahead(slots, now))
+        return self.work_seconds() * (1.0 + self.ahead(slots, now))
+
+    def work_seconds(self) -> float:
+        """Returns the estimated time of a call without its wait.
+
+        Few calls of one target say little when their times differ much, so
+        that the mean of its service counts beside them.
+        """
+        seconds = self.work.seconds + PRIOR_CALLS * self.service_work.mean()
+        return seconds / (self.work.calls + PRIOR_CALLS)
--- a/src/jujubeyard/targets/registry.py
+++ b/src/jujubeyard/targets/registry.py
@@ -82,6 +82,7 @@
         self.targets: dict[str, Target] = {}
         self.evacuated: dict[str, float] = {}
         self.version = 0
+        self._work: dict[str, loads.WorkMean] = {}
         self._by_service: dict[str, list[Target]] = {}
         self._indexed_version = -1
         self._returned_at = float("-inf")
@@ -96,7 +97,8 @@
         found = self.targets.get(listing.target_id)
         reborn = found is not None and found.listing.born != listing.born
         if found is None or reborn:
-            found = Target(listing, now)
+            load = loads.TargetLoad(service_work=self._work_of(listing.service))
+            found = Target(listing, now, load=load)
             self.targets[listing.target_id] = found
         found.listing = listing
         found.gone_at = 0.0
@@ -107,6 +109,12 @@
             found.draining_since = now
         return reborn
 
+    def _work_of(self, service: str) -> loads.WorkMean:
+        found = self._work.get(service)
+        if found is None:
+            found = self._work[service] = loads.make_service_mean()
+        return found
+
     def remove(self, target_id: str, now: float) -> None:
         """Notes that a target is no longer listed."""
         found = self.targets.get(target_id)
--- a/tests/node/test_following.py
+++ b/tests/node/test_following.py
@@ -82,6 +82,50 @@
     assert not bench.reads
 
 
+@pytest.mark.parametrize(
+    ("order", "revision"),
+    [([0, 1], 8), ([1, 0], 8), ([0], 5), ([1], 5)],
+)
+async def test_an_update_in_parts_counts_once_it_is_whole(
+    bench, order, revision
+):
+    bench.view.take_table(_table(1, 5))
+    update = table.compare(_table(1, 5), _table(2, 8))
+    parts = table.divide_update(update, 2)
+    assert len(parts) == 2
+    for index in order:
+        bench.follower.take_update(parts[index])
+    assert bench.revision() == revision
+
+
+async def test_after_a_part_that_was_lost_the_table_is_read(bench):
+    bench.view.take_table(_table(1, 5))
+    bench.stored = _table(2, 8)
+    update = table.compare(_table(1, 5), _table(2, 8))
+    bench.follower.take_update(table.divide_update(update, 2)[0])
+    await bench.run()
+    assert bench.revision() == 8
+
+
+def test_the_longest_part_fits_into_a_datagram():
+    shards = tuple(
+        table.Shard(
+            65000 + number,
+            65001 + number,
+            table.Owner(
+                f"i-{number:010x}",
+                1785017313756 + number,
+                f"{number}.128.164.101:65000",
+            ),
+            (1 << 40) + number,
+            "h" * 32,
+        )
+        for number in range(datagrams.MAX_UPDATE_SHARDS)
+    )
+    update = table.Update("n" * 20, 1 << 30, 1 << 31, shards, 30)
+    assert len(datagrams.encode(update)) <= datagrams.MAX_BYTES
+
+
 async def test_after_a_missed_update_the_table_is_read(bench):
     bench.view.take_table(_table(1, 5))
     bench.stored = _table(3, 9)
