--- a/src/jujubeyard/node/owners.py
+++ b/src/jujubeyard/node/owners.py
@@ -15,9 +15,9 @@
 """How long a target that gave up a shard isn't asked for it again."""
 
 MOVED_RETRY_SECONDS = 0.2
-LEAVING_MARGIN = 0.4
+LEAVING_MARGIN = 0.5
 """Part of the bound for which a leaving target still gets keyed calls; the
-node may have heard of it late by as much."""
+node may have heard of it late by half as much."""
 
 EVACUATION_MARGIN = 0.6
 """The same for an evacuated zone."""
