Give each node of the soak one process

Two faults stopped and started the same node; where no other was free, one was drawn that another fault was starting, and its first process went on without an owner. A fault that raises now ends the soak; it was lost if it ended before the others.

--- a/soak/core.py
+++ b/soak/core.py
@@ -146,19 +146,16 @@
 async def _put_faults(world: faults.World, seconds: float, only) -> None:
     chosen = [faults.ALL[name] for name in only or faults.ALL]
     end = time.monotonic() + seconds
-    running: dict[asyncio.Task, faults.Fault] = {}
+    begun: dict[asyncio.Task, faults.Fault] = {}
     while time.monotonic() < end:
         await world.wait(*PAUSE_SECONDS)
-        running = {t: f for t, f in running.items() if not t.done()}
+        in_force = [f for task, f in begun.items() if not task.done()]
         fault = world.rng.choice(chosen)
-        is_taken = fault in faults.ALONE and any(
-            other in faults.ALONE for other in running.values()
-        )
-        if is_taken or len(running) >= MOST_FAULTS:
+        is_taken = fault in faults.ALONE and faults.ALONE & set(in_force)
+        if is_taken or len(in_force) >= MOST_FAULTS:
             continue
-        running[asyncio.create_task(fault(world))] = fault
-    if running:
-        await asyncio.gather(*running)
+        begun[asyncio.create_task(fault(world))] = fault
+    await asyncio.gather(*begun)
 
 
 async def _wait_served(seen: record.Record, limit: float) -> float:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -61,10 +61,12 @@
         await asyncio.sleep(self.rng.uniform(least, most))
 
     def pick_node(self) -> fleet.Node:
-        """Returns a node that nothing else stops or starts now."""
-        nodes = list(self.fleet.nodes.values())
-        free = [node for node in nodes if node.should_run]
-        return self.rng.choice(free or nodes)
+        """Returns a node."""
+        return self.rng.choice(list(self.fleet.nodes.values()))
+
+    def running_nodes(self) -> list[fleet.Node]:
+        """Returns the nodes that no other fault stops and starts now."""
+        return [n for n in self.fleet.nodes.values() if n.should_run]
 
     def pick_target(self, service: str = "") -> target.Target | None:
         """Returns a target that is up and stays, if its service has more."""
@@ -94,13 +96,13 @@
 
 async def kill_node(world: World) -> None:
     """Kills a node; it comes back soon."""
-    await _kill(world, [world.pick_node()])
+    nodes = world.running_nodes()
+    await _kill(world, world.rng.sample(nodes, min(1, len(nodes))))
 
 
 async def kill_all_nodes(world: World) -> None:
     """Kills all nodes at once; they come back soon."""
-    nodes = [n for n in world.fleet.nodes.values() if n.should_run]
-    await _kill(world, nodes)
+    await _kill(world, world.running_nodes())
 
 
 async def _kill(world: World, nodes: list[fleet.Node]) -> None:
@@ -118,7 +120,10 @@
 
 async def stop_node(world: World) -> None:
     """Stops a node in order; it comes back soon."""
-    node = world.pick_node()
+    nodes = world.running_nodes()
+    if not nodes:
+        return
+    node = world.rng.choice(nodes)
     node.should_run = False
     with world.span("stop", node.name, is_planned=True):
         world.fleet.send_signal(node, signal.SIGTERM)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -190,7 +190,13 @@
         return made
 
     def spawn(self, node: Node, comment: str = "") -> None:
-        """Starts a node's process."""
+        """Starts a node's process.
+
+        Raises:
+            RuntimeError: Its process before still runs.
+        """
+        if node.process is not None and node.process.poll() is None:
+            raise RuntimeError(f"{node.name} still runs")
         node.life += 1
         node.is_ready = False
         path = self._directory / f"{node.name}.toml"
