Let the soak's versions grow in uneven steps

The operator's versions do; a version's route now goes with the second later one, whatever its number, and the check counts versions likewise. One case more in the table of checks; the case of a dropped route names two later versions.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -205,7 +205,8 @@
             while True:
                 await asyncio.sleep(PROBE_SECONDS)
                 nodes = self._fleet.nodes.values()
-                versions = sorted(self._record.versions)[-2:]
+                known = sorted(self._record.versions)
+                versions = known[-record.KEPT_VERSIONS :]
                 await asyncio.gather(
                     *(
                         self._ask(session, node, version)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -16,6 +16,9 @@
 SLACK_SECONDS = 0.1
 """Time that the soak itself may be late to see something."""
 
+PROBE_SECONDS = 1.0
+"""Longest time from the sending of a probe to its answer."""
+
 BUDGET_SECONDS = 10.0
 COLD_WINDOW_SECONDS = 1.0
 RECOVERY_WINDOW_SECONDS = 2.0
@@ -205,10 +208,13 @@
 
 def _is_dropped(seen: record.Record, probe: record.Probe) -> bool:
     """Returns whether a version without the probed route may be in force."""
-    return any(
-        version >= probe.version + 2 and accepted_at <= probe.sent_at + 1.0
+    later = [
+        version
         for version, accepted_at in seen.versions.items()
-    )
+        if version > probe.version
+        and accepted_at <= probe.sent_at + PROBE_SECONDS
+    ]
+    return len(later) >= record.KEPT_VERSIONS
 
 
 def _densest(times: list[float], seconds: float) -> tuple[int, float]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,13 +18,9 @@
 from soak import fleet
 from soak import record
 
-FIRST_VERSION = 5
 BROKEN_MODES = [mode for mode in store.Mode if mode is not store.Mode.WORKS]
-KEPT_VERSIONS = 2
-"""Versions whose own routes a configuration has."""
-
-CERTAIN_SECONDS = 2.0
-"""Time after which an entry that is missing in a working store is gone."""
+MOST_STEP = 3
+"""Largest step from one version to the next."""
 
 
 class World:
@@ -33,13 +29,11 @@
     Attributes:
         fleet: The processes and stand-ins.
         rng: Draws what is hit, and for how long.
-        version: The latest version of the configuration.
     """
 
     def __init__(self, running: fleet.Fleet, rng: random.Random):
         self.fleet = running
         self.rng = rng
-        self.version = FIRST_VERSION
 
     @property
     def record(self) -> record.Record:
@@ -80,15 +74,15 @@
 
     def configure(self) -> None:
         """Writes the next version of the configuration."""
-        self.version += self.rng.randint(1, 1)
-        first = max(FIRST_VERSION, self.version - KEPT_VERSIONS + 1)
-        versions = range(first, self.version + 1)
-        routes = [*callers.ROUTES, *map(callers.version_route, versions)]
+        known = sorted(self.record.versions)
+        version = max(known, default=0) + self.rng.randint(1, MOST_STEP)
+        kept = [*known, version][-record.KEPT_VERSIONS :]
+        routes = [*callers.ROUTES, *map(callers.version_route, kept)]
         body = documents.make_configuration(
-            self.version, fleet.SERVICES.values(), routes
+            version, fleet.SERVICES.values(), routes
         )
         self.fleet.store.put(documents.CONFIGURATION_KEY, body)
-        self.record.versions[self.version] = time.monotonic()
+        self.record.versions[version] = time.monotonic()
 
 
 # Nodes.
--- a/soak/record.py
+++ b/soak/record.py
@@ -10,6 +10,9 @@
 STABLE_SECONDS = 3.0
 """How long nothing must have been wrong before bounds of time hold."""
 
+KEPT_VERSIONS = 2
+"""Latest versions whose own routes a configuration has."""
+
 EVERYWHERE = "*"
 """Scope of a fault that concerns all nodes."""
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -136,9 +136,18 @@
     ),
     (
         "dropped since",
-        Seen().version(7, 10).version(9, 12).probe(7, 12.2, False),
+        Seen()
+        .version(7, 10)
+        .version(8, 11)
+        .version(12, 12)
+        .probe(7, 12.2, False),
         None,
     ),
+    (
+        "one later version keeps the route",
+        Seen().version(7, 10).version(12, 12).probe(7, 12.2, False),
+        "CONFIGURATION",
+    ),
     (
         "forgotten",
         Seen().version(7, 10).probe(7, 11, True).probe(7, 11.5, False),
