--- a/platform_standins/target.py
+++ b/platform_standins/target.py
@@ -14,15 +14,13 @@
 from jujubeyard.ownership import demand
 from jujubeyard.platform import headers
 from platform_standins import documents
+from platform_standins import keys
 from platform_standins import store
 
 NAMES = headers.NAMES
 BEAT_SECONDS = 0.5
 BEATS_UNTIL_GONE = 3
 QUEUE_PER_SLOT = 4
-CLOCK_RATE = 0.98
-"""Rate of the slowest clock by which a target may measure a grant."""
-
 LATE_ORDER_SECONDS = (1.0, 4.0)
 
 
@@ -45,19 +43,6 @@
     is_mute: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class Hold:
-    """A grant that a target holds, for one bucket of keys.
-
-    Attributes:
-        fence: Its fence.
-        until: When it runs out, in monotonic seconds.
-    """
-
-    fence: int
-    until: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
     """A call that reached a target.
@@ -93,7 +78,7 @@
 
 
 class Fleet(typing.Protocol):
-    """The targets that a target is compared with."""
+    """The targets beside a target."""
 
     def peers(self, service: str) -> "list[Target]":
         """Returns all targets of a service that are up."""
@@ -108,7 +93,7 @@
         zone: Its availability zone.
         address: Where callers of it connect.
         faults: Its faults at this moment.
-        holds: What it holds, by bucket of keys.
+        keys: What it holds, and under which fences.
         is_up: Whether its process runs.
         is_draining: Whether it is about to leave.
     """
@@ -130,7 +115,7 @@
         self.zone = zone
         self.address = address
         self.faults = Faults()
-        self.holds: dict[int, Hold] = {}
+        self.keys = keys.Keys(name, observer, self._find_peers)
         self.is_up = False
         self.is_draining = False
         self._store = kept
@@ -140,7 +125,6 @@
         self._born = int(time.time() * durations.MILLISECONDS_PER_SECOND)
         cold_seconds = documents.COLD_SECONDS if is_cold else 0.0
         self._cold_until = time.monotonic() + cold_seconds
-        self._fences: dict[int, int] = {}
         self._running: collections.Counter[int] = collections.Counter()
         self._slots = asyncio.Semaphore(service.slots)
         self._waiting = 0
@@ -164,7 +148,7 @@
     async def crash(self) -> None:
         """Ends at once; the store drops its entry when beats are missed."""
         self.is_up = False
-        self.holds.clear()
+        self.keys.clear()
         for conn in self._runner.server.connections:
             if conn.transport is not None:
                 conn.transport.abort()
@@ -180,11 +164,6 @@
         self.faults.is_mute = True
         self._store.remove(documents.listing_key(self.name))
 
-    def holds_key(self, bucket: int) -> bool:
-        """Returns whether it holds a bucket of keys."""
-        hold = self.holds.get(bucket)
-        return hold is not None and hold.until > time.monotonic()
-
     def is_cold(self) -> bool:
         """Returns whether it is cold."""
         return time.monotonic() < self._cold_until
@@ -235,49 +214,20 @@
             self._spawn(self._grant_late(document, arrived_at))
             await asyncio.sleep(LATE_ORDER_SECONDS[1])
             return self._respond(503)
-        return self._respond(self._grant(document, arrived_at))
+        return self._respond(self.keys.grant(document, arrived_at))
 
     async def _grant_late(self, document: dict, arrived_at: float) -> None:
         await asyncio.sleep(self._rng.uniform(*LATE_ORDER_SECONDS))
         if self.is_up:
-            self._grant(document, arrived_at)
-
-    def _grant(self, document: dict, arrived_at: float) -> int:
-        fence = document["fence"]
-        buckets = _buckets(document)
-        if any(self._fences.get(bucket, 0) > fence for bucket in buckets):
-            return 409
-        seconds = durations.parse_seconds(document["hold_time"]) / CLOCK_RATE
-        for bucket in buckets:
-            self._check_fence(bucket, fence)
-            self._fences[bucket] = fence
-            self.holds[bucket] = Hold(fence, arrived_at + seconds)
-        return 200
-
-    def _check_fence(self, bucket: int, fence: int) -> None:
-        if self._fences.get(bucket) == fence:
-            return
-        for peer in self._fleet.peers(self.service.name):
-            known = peer.holds.get(bucket)
-            if peer is not self and known and known.fence >= fence:
-                self._observer.note_conflict(
-                    f"{self.name} takes bucket {bucket} of keys under fence "
-                    f"{fence}, {peer.name} had {known.fence}",
-                )
+            self.keys.grant(document, arrived_at)
 
     async def _take_release(self, req) -> web.Response:
         document = await req.json()
-        fence = document["fence"]
-        buckets = _buckets(document)
-        for bucket in buckets:
-            hold = self.holds.get(bucket)
-            if hold is not None and hold.fence < fence:
-                hold.until = 0.0
-            self._fences[bucket] = max(self._fences.get(bucket, 0), fence)
+        buckets = self.keys.release(document)
         while any(self._running[bucket] for bucket in buckets):
             self._idle.clear()
             await self._idle.wait()
-        return self._respond(200, {NAMES.handover: f"{fence:016x}"})
+        return self._respond(200, {NAMES.handover: f"{document['fence']:016x}"})
 
     # Calls.
 
@@ -289,7 +239,7 @@
         deadline = time.monotonic() + (
             int(req.headers[NAMES.deadline]) / durations.MILLISECONDS_PER_SECOND
         )
-        if bucket >= 0 and not self.holds_key(bucket):
+        if bucket >= 0 and not self.keys.holds(bucket):
             return self._refuse(421)
         if self._waiting >= QUEUE_PER_SLOT * self.service.slots:
             self._note_arrival(req, ran=False)
@@ -305,13 +255,14 @@
             self._slots.release()
 
     async def _run(self, req, bucket: int, deadline: float):
-        if bucket >= 0 and not self.holds_key(bucket):
+        if bucket >= 0 and not self.keys.holds(bucket):
             return self._refuse(421)
         is_late = time.monotonic() > deadline
         self._note_arrival(req, ran=not is_late)
         if is_late:
             return self._refuse(503)
-        self._check_owner(bucket)
+        if bucket >= 0:
+            self.keys.check_sole_owner(bucket)
         self._running[bucket] += 1
         try:
             mean = self.service.work_seconds * self.faults.slow_factor
@@ -321,15 +272,6 @@
             self._idle.set()
         return await self._answer(req)
 
-    def _check_owner(self, bucket: int) -> None:
-        for peer in self._fleet.peers(self.service.name):
-            if bucket >= 0 and peer is not self and peer.holds_key(bucket):
-                self._observer.note_conflict(
-                    f"{self.name} runs a call on bucket {bucket} of keys, "
-                    f"which {peer.name} holds under fence "
-                    f"{peer.holds[bucket].fence} as well",
-                )
-
     def _note_arrival(self, req, ran: bool) -> None:
         call_id = req.headers[NAMES.call_id]
         self._observer.note_arrival(
@@ -385,19 +327,11 @@
             status=status, text=body, headers={NAMES.load: load, **(more or {})}
         )
 
+    def _find_peers(self) -> "list[keys.Keys]":
+        peers = self._fleet.peers(self.service.name)
+        return [peer.keys for peer in peers if peer is not self]
+
     def _spawn(self, coro) -> None:
         task = asyncio.create_task(coro)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _buckets(document: dict) -> range:
-    """Returns the buckets of an order's keys.
-
-    Raises:
-        ValueError: The order divides a bucket.
-    """
-    first, last = document["from"], document["target"]
-    if first % demand.BUCKET_KEYS or (last + 1) % demand.BUCKET_KEYS:
-        raise ValueError(f"keys {first} to {last} divide a bucket")
-    return range(first // demand.BUCKET_KEYS, last // demand.BUCKET_KEYS + 1)
