Log how much of each store answer arrived, and when

The lines could not tell a transfer that was cut off (H1) from slow processing (H2): a watch that was abandoned or timed out left no line of its own.

Change: a call to the store records when its answer began to arrive and how many bytes have come; the mirrors log abandoned and failed watches and reads with both, and each answer of over 64 KiB; 'configuration in force' gives the number of routes. No logic is changed.

tests/store, tests/node, tests/platform: 147 passed.

--- a/src/jujubeyard/node/cluster_view.py
+++ b/src/jujubeyard/node/cluster_view.py
@@ -171,6 +171,7 @@
             "configuration in force",
             version=configuration.version,
             before=before,
+            routes=len(configuration.routes),
         )
 
     @_apply.register
--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -172,7 +172,9 @@
             log,
         )
         self._mirrors = [
-            mirror.Mirror(self._store, prefix, self._view, store_health, pause)
+            mirror.Mirror(
+                self._store, prefix, self._view, store_health, pause, log
+            )
             for prefix, pause in (
                 (prefixes.operator, OPERATOR_BATCH_SECONDS),
                 (prefixes.targets, TARGETS_BATCH_SECONDS),
--- a/src/jujubeyard/platform/store.py
+++ b/src/jujubeyard/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import collections.abc
 import json
+import time
 
 import aiohttp
 import result
@@ -47,7 +48,7 @@
         self._watch_slack_seconds = watch_slack_seconds
 
     async def read_all(
-        self, prefix: str
+        self, prefix: str, transfer: interface.Transfer | None = None
     ) -> result.Result[interface.ItemBatch, interface.Failure]:
         """Returns all items whose keys start with a prefix.
 
@@ -59,7 +60,9 @@
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
-            page = await self._call("GET", "/kv-range", query=query)
+            page = await self._call(
+                "GET", "/kv-range", query=query, transfer=transfer
+            )
             if page.is_err():
                 return page
             document = page.ok_value
@@ -82,7 +85,11 @@
         return outcome
 
     async def watch(
-        self, prefix: str, after: int, seconds: float
+        self,
+        prefix: str,
+        after: int,
+        seconds: float,
+        transfer: interface.Transfer | None = None,
     ) -> result.Result[interface.ItemBatch, interface.Failure]:
         """Waits for changes after a revision and returns them."""
         wait_ms = int(seconds * durations.MILLISECONDS_PER_SECOND)
@@ -93,7 +100,7 @@
         }
         timeout = seconds + self._watch_slack_seconds
         outcome = await self._call(
-            "GET", "/kv-watch", query=query, timeout=timeout
+            "GET", "/kv-watch", None, query, timeout, transfer
         )
         return outcome.map(
             lambda document: interface.ItemBatch(
@@ -155,6 +162,7 @@
         document: dict | None = None,
         query: dict | None = None,
         timeout: float | None = None,
+        transfer: interface.Transfer | None = None,
     ) -> result.Result[dict, interface.Failure]:
         client_timeout = aiohttp.ClientTimeout(
             total=timeout or self._call_seconds, sock_connect=self._call_seconds
@@ -170,7 +178,7 @@
                 headers=headers,
                 timeout=client_timeout,
             ) as resp:
-                reply = await resp.read()
+                reply = await _read_body(resp, transfer or interface.Transfer())
         except aiohttp.ClientConnectorError as exc:
             return _make_failure(interface.FailureKind.NOT_APPLIED, repr(exc))
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
@@ -186,6 +194,18 @@
             return _make_failure(interface.FailureKind.UNKNOWN, exc.message)
 
 
+async def _read_body(
+    resp: aiohttp.ClientResponse, transfer: interface.Transfer
+) -> bytes:
+    """Returns the body of an answer, and records its progress."""
+    transfer.record_start(time.monotonic())
+    body = bytearray()
+    async for chunk in resp.content.iter_any():
+        body += chunk
+        transfer.received_bytes += len(chunk)
+    return bytes(body)
+
+
 def _make_failure(kind: interface.FailureKind, detail: str) -> result.Err:
     return result.Err(interface.Failure(kind, detail))
 
--- a/src/jujubeyard/store/interface.py
+++ b/src/jujubeyard/store/interface.py
@@ -71,6 +71,29 @@
     revision: int
 
 
+@dataclasses.dataclass(slots=True)
+class Transfer:
+    """Progress of the answer to a call.
+
+    Attributes:
+        received_bytes: Size of the part of the answer's body that was received.
+        first_byte_at: When the answer began to arrive, in monotonic seconds;
+            None before.
+    """
+
+    received_bytes: int = 0
+    first_byte_at: float | None = None
+
+    def record_start(self, now: float) -> None:
+        """Records that the answer has begun to arrive.
+
+        Args:
+            now: Monotonic time, in seconds.
+        """
+        if self.first_byte_at is None:
+            self.first_byte_at = now
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Put:
     """A value to write.
@@ -102,14 +125,25 @@
 class Store(typing.Protocol):
     """A key-value store with compare-and-swap, leases and watches."""
 
-    async def read_all(self, prefix: str) -> result.Result[ItemBatch, Failure]:
-        """Returns all items whose keys start with a prefix."""
+    async def read_all(
+        self, prefix: str, transfer: Transfer | None = None
+    ) -> result.Result[ItemBatch, Failure]:
+        """Returns all items whose keys start with a prefix.
+
+        Args:
+            prefix: Prefix of the keys.
+            transfer: Is updated while the answer arrives.
+        """
 
     async def read(self, key: str) -> result.Result[Item | None, Failure]:
         """Returns an item, or None if it does not exist."""
 
     async def watch(
-        self, prefix: str, after: int, seconds: float
+        self,
+        prefix: str,
+        after: int,
+        seconds: float,
+        transfer: Transfer | None = None,
     ) -> result.Result[ItemBatch, Failure]:
         """Waits for changes after a revision and returns them.
 
@@ -117,6 +151,7 @@
             prefix: Prefix of the watched keys.
             after: Revision after which changes are returned.
             seconds: Longest wait; the batch is empty if nothing changed.
+            transfer: Is updated while the answer arrives.
         """
 
     async def write(
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 import random
+import time
 import typing
 
 from jujubeyard.store import health
@@ -24,6 +25,8 @@
 """Longest wait for the store to recover before the next attempt."""
 
 RETRY_JITTER_SECONDS = 0.15
+LARGE_ANSWER_BYTES = 65536
+"""Size from which on the transfer of an answer is logged."""
 
 
 class Listener(typing.Protocol):
@@ -40,6 +43,18 @@
         """Applies updated and removed items."""
 
 
+class Journal(typing.Protocol):
+    """Log of the mirror."""
+
+    def log_event(self, event: str, **fields) -> None:
+        """Logs an event.
+
+        Args:
+            event: Text of the event.
+            **fields: Fields of the log line.
+        """
+
+
 class Mirror:
     """Reads all items under a prefix, then watches for changes.
 
@@ -62,6 +77,7 @@
         listener: Listener,
         store_health: health.Health,
         batch_seconds: float,
+        log: Journal,
     ):
         """Initializes the mirror; `run` starts it.
 
@@ -72,7 +88,9 @@
             store_health: Availability of the store, shared by its users.
             batch_seconds: Pause after changes, so that changes in quick
                 succession share a call.
+            log: Log of calls that brought nothing, and of large answers.
         """
+        self._log = log
         self._store = store
         self._listener = listener
         self._health = store_health
@@ -102,10 +120,15 @@
                 await self._watch_once()
 
     async def _read_all(self) -> None:
-        outcome = await self._store.read_all(self.prefix)
+        started_at = time.monotonic()
+        transfer = interface.Transfer()
+        outcome = await self._store.read_all(self.prefix, transfer)
         if outcome.is_err():
+            detail = outcome.err_value.detail
+            self._log_call("store read failed", started_at, transfer, detail)
             await self._handle_failure(outcome.err_value)
             return
+        self._log_large_answer(started_at, transfer)
         self._record_success()
         items = outcome.ok_value.items
         self._listener.apply_snapshot(self.prefix, items)
@@ -113,16 +136,25 @@
         self._update_latest_revision(items)
 
     async def _watch_once(self) -> None:
-        outcome = await self._watch()
+        started_at = time.monotonic()
+        transfer = interface.Transfer()
+        outcome = await self._watch(transfer)
         if outcome is None:
+            reason = "another node knows more"
+            if not self._behind.is_set():
+                reason = "the availability of the store has changed"
+            self._log_call("watch abandoned", started_at, transfer, reason)
             self._is_next_watch_short = True
             return
         if outcome.is_err():
+            detail = outcome.err_value.detail
+            self._log_call("watch failed", started_at, transfer, detail)
             if outcome.err_value.kind is interface.FailureKind.COMPACTED:
                 self.revision = None
                 return
             await self._handle_failure(outcome.err_value)
             return
+        self._log_large_answer(started_at, transfer)
         self._record_success()
         items = outcome.ok_value.items
         self.revision = max(self.revision, outcome.ok_value.revision)
@@ -134,7 +166,7 @@
                 pause if self.is_low_latency else self._batch_seconds
             )
 
-    async def _watch(self):
+    async def _watch(self, transfer: interface.Transfer):
         """Runs one watch; returns its outcome, or None if it was abandoned.
 
         A watch is abandoned if the availability of the store changes or
@@ -148,7 +180,7 @@
             seconds = LOW_LATENCY_WATCH_SECONDS
         self._behind.clear()
         watch = asyncio.ensure_future(
-            self._store.watch(self.prefix, self.revision, seconds)
+            self._store.watch(self.prefix, self.revision, seconds, transfer)
         )
         wait_health_change = self._health.wait_unavailable
         if not self._health.is_available:
@@ -170,6 +202,32 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _log_large_answer(
+        self, started_at: float, transfer: interface.Transfer
+    ) -> None:
+        if transfer.received_bytes > LARGE_ANSWER_BYTES:
+            self._log_call("large answer of the store", started_at, transfer)
+
+    def _log_call(
+        self,
+        event: str,
+        started_at: float,
+        transfer: interface.Transfer,
+        detail: str = "",
+    ) -> None:
+        """Logs a call, with how much of its answer arrived in which time."""
+        now = time.monotonic()
+        first_byte_at = transfer.first_byte_at or now
+        self._log.log_event(
+            event,
+            prefix=self.prefix,
+            after=self.revision,
+            seconds=round(now - started_at, 3),
+            arriving_seconds=round(now - first_byte_at, 3),
+            bytes=transfer.received_bytes,
+            detail=detail,
+        )
+
     def _update_latest_revision(
         self, items: collections.abc.Sequence[interface.Item]
     ) -> None:
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -8,6 +8,7 @@
 from jujubeyard.store import health
 from jujubeyard.store import interface
 from jujubeyard.store import mirror
+from tests.utils import fakes
 
 
 class RecordingListener:
@@ -34,11 +35,11 @@
         self.durations = []
         self.start_revisions = []
 
-    async def read_all(self, prefix):
+    async def read_all(self, prefix, transfer=None):
         item = interface.Item("a", b"", 1, 1)
         return result.Ok(interface.ItemBatch((item,), 10))
 
-    async def watch(self, prefix, after, seconds):
+    async def watch(self, prefix, after, seconds, transfer=None):
         self.start_revisions.append(after)
         self.durations.append(seconds)
         outcome = self.outcomes.pop(0)
@@ -68,7 +69,9 @@
 
 def _make_mirror(store, listener):
     store_health = health.Health(listener.record_outage, lambda: None)
-    return mirror.Mirror(store, "a", listener, store_health, 0.0)
+    return mirror.Mirror(
+        store, "a", listener, store_health, 0.0, fakes.RecordingJournal()
+    )
 
 
 async def _run_steps(store, steps):
--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -52,7 +52,7 @@
         self.calls: list[str] = []
         self._history: list[interface.Item] = []
 
-    async def read_all(self, prefix: str):
+    async def read_all(self, prefix: str, transfer=None):
         items = tuple(
             item for key, item in self.items.items() if key.startswith(prefix)
         )
@@ -63,7 +63,9 @@
     async def read(self, key: str):
         return self._finish_call("read", self.items.get(key))
 
-    async def watch(self, prefix: str, after: int, seconds: float):
+    async def watch(
+        self, prefix: str, after: int, seconds: float, transfer=None
+    ):
         await asyncio.sleep(0)
         newer = tuple(
             item
