Let an answer of the store take as long as its bytes keep coming

Callers saw: 404 for routes that a confirmed configuration had added, and calls served by versions that two newer ones had replaced (CONFIG).

Cause: the time limit of a call to the store covered the transfer of its answer. A configuration of 1,360 more routes is 436 KB on the wire; a VM with a 10 Mbit/s link takes 0.73 s for it alone and several times that when versions follow each other. A read had 0.5 s in all, a short watch 1.1 s; both failed with TimeoutError, again and again, each time from the first byte, until nothing else used the link.

Tests: a configuration that takes 0.9 s to arrive failed for read_all and watch before (TimeoutError) and passes; a store that stops in head or body still fails the call.

--- a/src/jujubeyard/platform/store.py
+++ b/src/jujubeyard/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's key-value store over HTTP."""
 
+import asyncio
 import base64
 import collections.abc
 import json
@@ -14,6 +15,13 @@
 from jujubeyard.store import interface
 
 HTTP_OK = 200
+ANSWER_SILENCE_SECONDS = 0.6
+"""Longest pause within an answer. Its whole transfer may take longer, as that
+of a large configuration does on a slow link."""
+
+MAX_ANSWER_SECONDS = 10.0
+"""Longest transfer of an answer."""
+
 FAILURE_KINDS = {
     404: interface.FailureKind.NO_LEASE,
     410: interface.FailureKind.COMPACTED,
@@ -38,9 +46,9 @@
         Args:
             address: Address of the store as "IP:PORT".
             session: HTTP session for all calls.
-            call_seconds: Timeout of a call.
+            call_seconds: Time until the answer to a call begins to arrive.
             watch_slack_seconds: Time added to the duration of a watch to get
-                its timeout.
+                the time until its answer begins to arrive.
         """
         self._base = f"http://{address}"
         self._session = session
@@ -165,20 +173,25 @@
         transfer: interface.Transfer | None = None,
     ) -> result.Result[dict, interface.Failure]:
         client_timeout = aiohttp.ClientTimeout(
-            total=timeout or self._call_seconds, sock_connect=self._call_seconds
+            total=None, sock_connect=self._call_seconds
         )
         body = None if document is None else json.dumps(document).encode()
         headers = {"Content-Type": "application/json"} if body else {}
         try:
-            async with self._session.request(
-                method,
-                self._base + path,
-                params=query,
-                data=body,
-                headers=headers,
-                timeout=client_timeout,
-            ) as resp:
-                reply = await _read_body(resp, transfer or interface.Transfer())
+            async with (
+                asyncio.timeout(timeout or self._call_seconds) as limit,
+                self._session.request(
+                    method,
+                    self._base + path,
+                    params=query,
+                    data=body,
+                    headers=headers,
+                    timeout=client_timeout,
+                ) as resp,
+            ):
+                reply = await _read_body(
+                    resp, limit, transfer or interface.Transfer()
+                )
         except aiohttp.ClientConnectorError as exc:
             return _make_failure(interface.FailureKind.NOT_APPLIED, repr(exc))
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
@@ -195,14 +208,27 @@
 
 
 async def _read_body(
-    resp: aiohttp.ClientResponse, transfer: interface.Transfer
+    resp: aiohttp.ClientResponse,
+    limit: asyncio.Timeout,
+    transfer: interface.Transfer,
 ) -> bytes:
-    """Returns the body of an answer, and records its progress."""
-    transfer.record_start(time.monotonic())
+    """Returns the body of an answer, and records its progress.
+
+    Args:
+        resp: The answer.
+        limit: Time limit of the call; it is extended while bytes arrive.
+        transfer: Is updated with each received part.
+
+    Raises:
+        TimeoutError: The store paused for too long.
+    """
+    now = asyncio.get_running_loop().time
+    latest_end = limit.when() + MAX_ANSWER_SECONDS
     body = bytearray()
     async for chunk in resp.content.iter_any():
         body += chunk
-        transfer.received_bytes += len(chunk)
+        transfer.record_chunk(len(chunk), time.monotonic())
+        limit.reschedule(min(now() + ANSWER_SILENCE_SECONDS, latest_end))
     return bytes(body)
 
 
--- a/src/jujubeyard/store/interface.py
+++ b/src/jujubeyard/store/interface.py
@@ -77,19 +77,26 @@
 
     Attributes:
         received_bytes: Size of the part of the answer's body that was received.
-        first_byte_at: When the answer began to arrive, in monotonic seconds;
+        first_byte_at: When the body began to arrive, in monotonic seconds;
             None before.
     """
 
     received_bytes: int = 0
     first_byte_at: float | None = None
 
-    def record_start(self, now: float) -> None:
-        """Records that the answer has begun to arrive.
+    @property
+    def is_arriving(self) -> bool:
+        """Whether a part of the answer has arrived."""
+        return self.first_byte_at is not None
+
+    def record_chunk(self, size: int, now: float) -> None:
+        """Records that a part of the answer's body was received.
 
         Args:
+            size: Size of the part, in bytes.
             now: Monotonic time, in seconds.
         """
+        self.received_bytes += size
         if self.first_byte_at is None:
             self.first_byte_at = now
 
