Await a watch whose answer has begun to arrive

Cause: a mirror abandons its watch when the availability of the store changes or a beacon of the leader names a newer revision, since a watch begun in silence never gets a reply. It did so also while the reply was arriving. The leader has a fast link, so that it knew a large configuration first and its beacon made the slow nodes throw away what they had received.

Change: such a watch is awaited; the store client ends it if it falls silent. Test: failed before for both triggers, passes now.

--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -171,7 +171,8 @@
 
         A watch is abandoned if the availability of the store changes or
         another node reports a newer revision, because it may never get a
-        reply.
+        reply. Once its reply has begun to arrive, it is awaited: another
+        watch would transfer the same changes from the beginning.
         """
         seconds = WATCH_SECONDS
         if self._is_next_watch_short or not self._health.is_available:
@@ -195,7 +196,9 @@
         tasks = [watch, *interrupts]
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            return watch.result() if watch.done() else None
+            if watch.done() or transfer.is_arriving:
+                return await watch
+            return None
         finally:
             for task in tasks:
                 task.cancel()
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -34,6 +34,7 @@
         self.outcomes = list(outcomes)
         self.durations = []
         self.start_revisions = []
+        self.arriving_seconds = 0.0
 
     async def read_all(self, prefix, transfer=None):
         item = interface.Item("a", b"", 1, 1)
@@ -45,6 +46,9 @@
         outcome = self.outcomes.pop(0)
         if callable(outcome):
             return await outcome()
+        if self.arriving_seconds:
+            transfer.record_chunk(1, 0.0)
+            await asyncio.sleep(self.arriving_seconds)
         return outcome
 
 
@@ -139,6 +143,24 @@
     assert store_mirror.latest_revision == 12
 
 
+@pytest.mark.parametrize("trigger", ["store lost", "others know more"])
+async def test_watch_is_not_abandoned_while_its_answer_arrives(trigger):
+    listener = RecordingListener()
+    store = ScriptedStore(_changed(12, "b"))
+    store.arriving_seconds = 0.1
+    store_mirror = _make_mirror(store, listener)
+    await store_mirror._read_all()
+    watch = asyncio.create_task(store_mirror._watch_once())
+    await asyncio.sleep(0.02)
+    if trigger == "store lost":
+        store_mirror._health.record_failure(UNKNOWN.err_value)
+    else:
+        store_mirror.wake_if_behind(12)
+    await watch
+    assert ("changes", ["b"]) in listener.calls
+    assert len(store.durations) == 1
+
+
 async def test_known_revision_does_not_restart_watch():
     store_mirror = _make_mirror(
         ScriptedStore(_never_reply), RecordingListener()
