Bound what a target may send as the answer to a call

Operators saw: a client of node/upstream.py at 1,250 MB after 2 s of a body without end; VMs have 200 to 552 MB, so the node is killed and every call in it is lost.

Cause: the body was read whole with no limit, answers to other calls and interim answers were discarded for as long as they came, and an idle connection parsed and kept what arrived on it.

Change: an answer may have 8 MiB, all that are being read 48 MiB (bodies.BodyReader); 16 other answers end the call; bytes after a complete answer close the connection. A call ended so counts as possibly run.

Endless heads (names, values, fields, reason, no HTTP at all) were bounded by the library already.

An answer cut anywhere in its head, closed or reset, ends as broken off on the old and on the new client: 200-odd cases, none passed on as an answer.

--- /dev/null
+++ b/src/jujubeyard/bodies.py
@@ -0,0 +1,59 @@
+"""Reads HTTP bodies within a limit of memory."""
+
+import aiohttp
+
+
+class BodyTooLargeError(aiohttp.ClientPayloadError):
+    """A body is larger than its reader accepts."""
+
+
+class BodyReader:
+    """Reads bodies, whose sizes are limited singly and together.
+
+    Attributes:
+        buffered_bytes: Size of the parts of all bodies that are being read.
+    """
+
+    def __init__(self, max_body_bytes: int, max_buffered_bytes: int):
+        """Initializes a reader.
+
+        Args:
+            max_body_bytes: Largest size of one body.
+            max_buffered_bytes: Largest size of all bodies that are being read.
+        """
+        self._max_body_bytes = max_body_bytes
+        self._max_buffered_bytes = max_buffered_bytes
+        self.buffered_bytes = 0
+
+    async def read(self, resp: aiohttp.ClientResponse) -> bytes:
+        """Returns the body of a response.
+
+        The connection is closed if the body isn't read to its end.
+
+        Raises:
+            BodyTooLargeError: The body is too large, or all bodies together
+                are.
+            aiohttp.ClientError: The body is incomplete.
+        """
+        body = bytearray()
+        try:
+            async for chunk in resp.content.iter_any():
+                self.buffered_bytes += len(chunk)
+                body += chunk
+                self._check(len(body))
+        except BaseException:
+            resp.close()
+            raise
+        finally:
+            self.buffered_bytes -= len(body)
+        return bytes(body)
+
+    def _check(self, body_bytes: int) -> None:
+        if body_bytes > self._max_body_bytes:
+            raise BodyTooLargeError(
+                f"body of over {self._max_body_bytes} bytes"
+            )
+        if self.buffered_bytes > self._max_buffered_bytes:
+            raise BodyTooLargeError(
+                f"bodies of over {self._max_buffered_bytes} bytes together"
+            )
--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -10,8 +10,20 @@
 from aiohttp import client_proto
 import yarl
 
+from jujubeyard import bodies
 from jujubeyard.node import protocol
 
+MIB = 1024 * 1024
+MAX_ANSWER_BYTES = 8 * MIB
+MAX_BUFFERED_BYTES = 48 * MIB
+"""Largest size of all answers that are being read. The smallest VMs have 200
+MB, of which a node without calls uses a quarter."""
+
+MIN_FINAL_STATUS = 200
+MAX_MESSAGES_PER_CALL = 16
+"""Answers to other calls and interim answers after which the answer of a call
+is not waited for any longer."""
+
 CONNECT_TIMEOUT_SECONDS = 0.4
 KEEPALIVE_TIMEOUT_SECONDS = 4.0
 TCP_USER_TIMEOUT_MS = 2000
@@ -92,15 +104,25 @@
 
 
 class _ResponseProtocol(client_proto.ResponseHandler):
-    """Discards answers to other calls, and records resets of its connection."""
+    """Discards answers to other calls, and records resets of its connection.
+
+    A connection on which anything follows a complete answer is closed.
+    """
 
     def __init__(self, loop, header_names: protocol.HeaderNames):
         super().__init__(loop)
         self._header_names = header_names
         self._expected_call_id: str | None = None
         self._is_out_of_sync = False
+        self._is_answered = False
+        self._message_count = 0
         self.was_reset = False
 
+    def begin_call(self) -> None:
+        """Prepares for the answer to the next call."""
+        self._is_answered = False
+        self._message_count = 0
+
     def set_expected_call(self, call_id: str | None) -> None:
         """Sets the ID of the call whose answer is read next."""
         self._expected_call_id = call_id
@@ -114,14 +136,38 @@
         """Returns the next answer, without those that belong to other calls.
 
         Once such an answer was discarded, the connection is not reused.
+
+        Raises:
+            aiohttp.ClientPayloadError: Too many answers came that are not the
+                one to this call.
         """
         while True:
             message, payload = await super().read()
+            self._message_count += 1
+            if self._message_count > MAX_MESSAGES_PER_CALL:
+                self._is_out_of_sync = True
+                raise aiohttp.ClientPayloadError("too many answers")
             call_id = message.headers.get(self._header_names.call_id)
             if call_id is None or self._expected_call_id in (None, call_id):
+                if message.code >= MIN_FINAL_STATUS:
+                    payload.on_eof(self._finish_answer)
                 return message, payload
             self._is_out_of_sync = True
 
+    def data_received(self, data: bytes) -> None:
+        """Passes data to the parser, unless the answer is complete already."""
+        if self._is_answered and data:
+            self._is_out_of_sync = True
+            self.abort()
+            return
+        super().data_received(data)
+        if len(self) > MAX_MESSAGES_PER_CALL:
+            self.set_exception(aiohttp.ClientPayloadError("too many answers"))
+            self.abort()
+
+    def _finish_answer(self) -> None:
+        self._is_answered = True
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Records whether the connection was reset instead of closed."""
         self.was_reset = exc is not None
@@ -154,6 +200,7 @@
         while True:
             conn = await super().connect(req, traces, timeout)
             if not conn.protocol.should_close:
+                conn.protocol.begin_call()
                 return conn
             conn.close()
 
@@ -211,6 +258,7 @@
     def __init__(self, header_names: protocol.HeaderNames):
         self._reusing_session = make_session(header_names, force_close=False)
         self._fresh_session = make_session(header_names, force_close=True)
+        self._reader = bodies.BodyReader(MAX_ANSWER_BYTES, MAX_BUFFERED_BYTES)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -243,7 +291,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as resp:
-                body = await resp.read()
+                body = await self._reader.read(resp)
                 return _classify_answer(resp, body)
         except (
             aiohttp.ClientConnectorError,
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -132,3 +132,85 @@
         result = await client.send(_make_call(server.address, "c2", fresh))
         assert server.connections == connections
     assert result.outcome is ANSWERED
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nX-Signature: s\r\n"
+BLOCK = b"x" * 65536
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n" * 1000
+OTHER_ANSWERS = raw_server.answer("c0", b"old") * 1000
+MAX_SENT_BYTES = 32 * upstream.MIB
+
+
+@pytest.mark.parametrize("fresh", [False, True])
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        pytest.param(HEAD + b"\r\n", BLOCK, id="body without length"),
+        pytest.param(
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"10000\r\n" + BLOCK + b"\r\n",
+            id="chunks",
+        ),
+        pytest.param(
+            HEAD + b"Content-Length: 99999999999\r\n\r\n",
+            BLOCK,
+            id="body of a huge length",
+        ),
+        pytest.param(HEAD, b"X-More: y\r\n" * 1000, id="headers"),
+        pytest.param(HEAD + b"X-Long: ", BLOCK, id="header value"),
+        pytest.param(HEAD, BLOCK, id="header name"),
+        pytest.param(b"HTTP/1.1 200 ", BLOCK, id="reason"),
+        pytest.param(b"", BLOCK, id="no HTTP"),
+        pytest.param(b"", INTERIM, id="interim answers"),
+        pytest.param(b"", OTHER_ANSWERS, id="answers to other calls"),
+    ],
+)
+async def test_endless_bytes_of_a_target_do_not_exhaust_memory(
+    client, fresh, start, repeated
+):
+    script = [start, raw_server.Repeat(repeated)]
+    async with raw_server.RawServer(script) as server:
+        result = await client.send(
+            _make_call(server.address, fresh=fresh, seconds=2.5)
+        )
+        async with asyncio.timeout(1.0):
+            await server.repeat_ended.wait()
+    assert result.outcome is BROKEN
+    assert server.repeated_bytes < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize("repeated", [BLOCK, OTHER_ANSWERS])
+async def test_endless_bytes_on_an_idle_connection_close_it(client, repeated):
+    script = [raw_server.answer("c1"), 0.05, raw_server.Repeat(repeated)]
+    async with raw_server.RawServer(script) as server:
+        result = await client.send(_make_call(server.address))
+        async with asyncio.timeout(1.0):
+            await server.repeat_ended.wait()
+    assert result.outcome is ANSWERED
+    assert server.repeated_bytes < MAX_SENT_BYTES
+
+
+async def test_endless_bodies_of_many_targets_share_a_memory_limit(client):
+    script = [[HEAD + b"\r\n", raw_server.Repeat(BLOCK)] for _ in range(20)]
+    async with raw_server.RawServer(*script) as server:
+        results = await asyncio.gather(
+            *(
+                client.send(_make_call(server.address, seconds=2.5))
+                for _ in script
+            )
+        )
+    assert {result.outcome for result in results} == {BROKEN}
+    assert server.repeated_bytes < 5 * MAX_SENT_BYTES
+
+
+COMPLETE_ANSWER = raw_server.answer("c1", b"whole body")
+HEAD_BYTES = COMPLETE_ANSWER.index(b"\r\n\r\n") + 4
+
+
+@pytest.mark.parametrize("end", [CLOSE, RESET])
+@pytest.mark.parametrize("size", range(1, HEAD_BYTES))
+async def test_answer_cut_in_its_head_is_not_passed_on(client, size, end):
+    script = [COMPLETE_ANSWER[:size], 0.005, end]
+    async with raw_server.RawServer(script) as server:
+        result = await client.send(_make_call(server.address))
+    assert result.outcome is BROKEN
--- a/tests/utils/raw_server.py
+++ b/tests/utils/raw_server.py
@@ -1,8 +1,10 @@
 """TCP server that answers HTTP requests with scripted bytes."""
 
 import asyncio
+import dataclasses
 import socket
 import struct
+import time
 
 RESET = object()
 """Script step that resets the connection."""
@@ -13,17 +15,29 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+REPEAT_SECONDS = 3.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Repeat:
+    """Script step that sends bytes again and again until the client closes."""
+
+    data: bytes
+
+
 class RawServer:
     """Answers each request, on any connection, as one script prescribes.
 
     Each item of the script is the list of steps that answers one request: bytes
-    to send, a float to wait that many seconds, RESET or CLOSE. Requests after
-    the last item get no answer.
+    to send, a float to wait that many seconds, a Repeat, RESET or CLOSE.
+    Requests after the last item get no answer.
 
     Attributes:
         address: Address that it listens on, as "IP:PORT".
         requests: Heads of the received requests, in order.
         connections: Number of accepted connections.
+        repeated_bytes: Number of bytes that Repeat steps have sent.
+        repeat_ended: Set when the client has closed during a Repeat step.
     """
 
     def __init__(self, *script):
@@ -32,6 +46,8 @@
         self.address = ""
         self.requests: list[bytes] = []
         self.connections = 0
+        self.repeated_bytes = 0
+        self.repeat_ended = asyncio.Event()
 
     async def __aenter__(self):
         self._server = await asyncio.start_server(
@@ -71,10 +87,25 @@
             if isinstance(step, float):
                 await asyncio.sleep(step)
                 continue
+            if isinstance(step, Repeat):
+                await self._repeat(writer, step.data)
+                return False
             writer.write(step)
             await writer.drain()
         return True
 
+    async def _repeat(self, writer, data: bytes) -> None:
+        end = time.monotonic() + REPEAT_SECONDS
+        try:
+            while time.monotonic() < end:
+                writer.write(data)
+                await writer.drain()
+                self.repeated_bytes += len(data)
+                await asyncio.sleep(0)
+        except ConnectionError:
+            self.repeat_ended.set()
+            raise
+
 
 def answer(call_id: str, body: bytes = b"ok", *headers: str) -> bytes:
     """Returns a complete 200 response with a Content-Length header."""
