Believe a refusal only if it names the call

Callers were told 'not run, try again' for calls that a target had run or was running, and a call that is not idempotent could run at a second target.

Cause: an answer with the header 'not run' was taken as the answer to the call whatever its call id. The client discards answers with another id, so two were left: a refusal without an id that arrives late on a kept connection, and an earlier refusal of the same call by the same target, written once more, that is read as the answer to the next attempt.

Change: a refusal counts only if it has the id of the call, else the call may have run; a call that is sent to a target again gets a connection of its own. The stand-in target's refusals name the call, as its answers did.

Evidence: four new cases; 'refusal without an id', 'another call's refusal' and the second attempt failed on the old code, all pass now. tests/node and tests/soak/test_keys.py: 262 passed.

--- a/platform_standins/target.py
+++ b/platform_standins/target.py
@@ -207,7 +207,7 @@
         if req.path == documents.HEALTH_PATH:
             return self._respond(200, {NAMES.target: self.name})
         if req.headers.get(NAMES.expected_target, self.name) != self.name:
-            return self._refuse(421)
+            return self._refuse(req, 421)
         if req.path == "/grant":
             return await self._handle_grant(req)
         if req.path == "/release":
@@ -247,10 +247,10 @@
             int(req.headers[NAMES.deadline]) / durations.MILLISECONDS_PER_SECOND
         )
         if bucket >= 0 and not self.keys.holds(bucket):
-            return self._refuse(421)
+            return self._refuse(req, 421)
         if self._waiting_calls >= QUEUE_PER_SLOT * self.service.slots:
             self._record_arrival(req, ran=False)
-            return self._refuse(503)
+            return self._refuse(req, 503)
         self._waiting_calls += 1
         try:
             await self._slots.acquire()
@@ -263,11 +263,11 @@
 
     async def _run(self, req, bucket: int, deadline: float):
         if bucket >= 0 and not self.keys.holds(bucket):
-            return self._refuse(421)
+            return self._refuse(req, 421)
         is_expired = time.monotonic() > deadline
         self._record_arrival(req, ran=not is_expired)
         if is_expired:
-            return self._refuse(503)
+            return self._refuse(req, 503)
         if bucket >= 0:
             self.keys.check_sole_owner(bucket)
         self._running_calls[bucket] += 1
@@ -320,10 +320,11 @@
         req.transport.close()
         return web.Response()
 
-    def _refuse(self, status: int) -> web.Response:
-        return self._respond(
-            status, {NAMES.not_run: "1", NAMES.target: self.name}
-        )
+    def _refuse(self, req, status: int) -> web.Response:
+        refusal = {NAMES.not_run: "1", NAMES.target: self.name}
+        if NAMES.call_id in req.headers:
+            refusal[NAMES.call_id] = req.headers[NAMES.call_id]
+        return self._respond(status, refusal)
 
     def _respond(
         self, status: int, extra_headers: dict | None = None, body: str = ""
--- a/src/jujubeyard/node/attempts.py
+++ b/src/jujubeyard/node/attempts.py
@@ -24,6 +24,7 @@
         deadline: When the caller stops waiting, in monotonic seconds.
         tried_targets: IDs of the targets that the call was sent to, one entry
             per attempt. An entry is empty if its target may be tried again.
+        contacted_targets: IDs of all targets that the call was sent to.
         may_have_run: Whether a target may have run the call.
         fence: Fence of the grant by which the key's owner holds its shard.
         queue_ratio: Value of `TargetLoad.queue_ratio()` for the target of the
@@ -38,6 +39,7 @@
     service: config.Service
     deadline: float
     tried_targets: list[str] = dataclasses.field(default_factory=list)
+    contacted_targets: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     fence: int = 0
     queue_ratio: float = 0.0
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -287,6 +287,9 @@
     def _make_outgoing_call(self, state, target) -> upstream.OutgoingCall:
         call = state.call
         remaining = state.remaining_seconds()
+        # A target's first answer to this call must not be read again.
+        is_repeated = target.listing.target_id in state.contacted_targets
+        state.contacted_targets.add(target.listing.target_id)
         connection_options = _connection_options(call.headers)
         headers = [
             (name, text)
@@ -308,7 +311,7 @@
             call.body,
             call.call_id,
             remaining,
-            not state.route.idempotent,
+            not state.route.idempotent or is_repeated,
         )
 
     def _process_result(
@@ -365,7 +368,10 @@
             load_report = self._read_load(load_header)
             if load_report is not None:
                 target.load.observe_report(load_report, now)
-        if header_names.not_run in answer.headers:
+        is_own_answer = (
+            answer.headers.get(header_names.call_id) == state.call.call_id
+        )
+        if is_own_answer and header_names.not_run in answer.headers:
             self._process_not_run(state, target, answer)
             return None
         if not self._is_valid_answer(state, answer):
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -141,6 +141,8 @@
 
 NOT_RUN = make_answer(503, X_Not_Run="1", signed=False)
 MISDIRECTED = make_answer(421, X_Not_Run="1", signed=False)
+REFUSAL_WITHOUT_ID = make_answer(503, call_id="", X_Not_Run="1", signed=False)
+EARLIER_REFUSAL = make_answer(503, call_id="c0", X_Not_Run="1", signed=False)
 BROKEN = upstream.SendResult(upstream.SendOutcome.BROKEN)
 NOT_SENT = upstream.SendResult(upstream.SendOutcome.NOT_SENT)
 TIMED_OUT = upstream.SendResult(upstream.SendOutcome.TIMED_OUT)
@@ -191,6 +193,19 @@
         pytest.param(
             "order", [NOT_RUN_WITHOUT_HEADER], 502, 1, id="empty promise"
         ),
+        pytest.param(
+            "order", [REFUSAL_WITHOUT_ID], 502, 1, id="refusal without an id"
+        ),
+        pytest.param(
+            "order", [EARLIER_REFUSAL], 502, 1, id="another call's refusal"
+        ),
+        pytest.param(
+            "read",
+            [REFUSAL_WITHOUT_ID, make_answer()],
+            200,
+            2,
+            id="then an answer",
+        ),
         pytest.param("order", [SERVER_ERROR], 500, 1, id="order failed"),
         pytest.param(
             "read", [SERVER_ERROR, make_answer()], 200, 2, id="failed, again"
@@ -376,3 +391,22 @@
     task.cancel()
     await asyncio.wait([task])
     assert target.load.in_flight == 0
+
+
+async def test_earlier_refusal_is_not_read_as_the_answer_to_a_second_attempt(
+    harness,
+):
+    harness.add_target("t1", "desk")
+    harness.set_owner("t1")
+
+    async def move_key(_):
+        harness.set_owner("t1", fence=2, revision=2)
+        return MISDIRECTED
+
+    harness.client.script = [move_key, make_answer()]
+    for _ in range(30):
+        harness.forwarder._retry_budget.earn("desk", 1)
+    reply = await harness.serve("lookup", key=1)
+    assert reply.status == 200
+    fresh = [call.on_fresh_connection for call in harness.client.sent]
+    assert fresh == [False, True]
