Apply both limits to what a gate reads from targets

Change: a refusal without the call's id counts as an unknown outcome (an answer may still lack it, as docs/target-protocol.md says); answers and replies are read by bodies.BodyReader, 8 MiB each, 16 MiB a target; a reply to a grant that is no JSON object is a failed probe instead of an error.

--- a/src/jujubeyard/bodies.py
+++ b/src/jujubeyard/bodies.py
@@ -2,6 +2,8 @@
 
 import aiohttp
 
+MIB = 1024 * 1024
+
 
 class BodyTooLargeError(aiohttp.ClientPayloadError):
     """A body is larger than its reader accepts."""
--- a/src/jujubeyard/gate/upstream.py
+++ b/src/jujubeyard/gate/upstream.py
@@ -2,10 +2,12 @@
 
 import collections.abc
 import dataclasses
+import json
 
 import aiohttp
 import yarl
 
+from jujubeyard import bodies
 from jujubeyard.gate import headers
 from jujubeyard.link import messages
 
@@ -15,6 +17,9 @@
 PROBE_TIMEOUT_SECONDS = 0.5
 CONNECT_TIMEOUT_SECONDS = 0.3
 KEEPALIVE_SECONDS = 15.0
+MAX_ANSWER_BYTES = 8 * bodies.MIB
+MAX_BUFFERED_BYTES = 16 * bodies.MIB
+"""Largest size of all answers of a target that are being read."""
 
 
 class LeaseLapsedError(Exception):
@@ -32,7 +37,7 @@
         refusal: Why the target refused to run the call, or an empty string.
         incarnation: Incarnation of the target that responded.
         matches_call: Whether the response is to this call; false if it names
-            another call.
+            another call, or is a refusal that names none.
     """
 
     status: int
@@ -121,6 +126,7 @@
         self._may_send = may_send
         self._read_clock = read_clock
         self._session: aiohttp.ClientSession | None = None
+        self._reader = bodies.BodyReader(MAX_ANSWER_BYTES, MAX_BUFFERED_BYTES)
         self._clock_offset: float | None = None
         self._incarnation = ""
 
@@ -151,15 +157,18 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            body = await response.read()
+            body = await self._reader.read(response)
             self._record_clock(response)
+            refusal = response.headers.get(headers.REFUSED, "")
+            # An answer may lack the call's ID; a refusal may not.
+            default_id = None if refusal else metadata.call_id
             return TargetResponse(
                 response.status,
                 response.headers.get("Content-Type", ""),
                 body,
-                response.headers.get(headers.REFUSED, ""),
+                refusal,
                 response.headers.get(headers.INCARNATION, ""),
-                response.headers.get(headers.CALL, metadata.call_id)
+                response.headers.get(headers.CALL, default_id)
                 == metadata.call_id,
             )
 
@@ -226,7 +235,9 @@
             json=document,
             timeout=timeout,
         ) as response:
-            body = await response.json() if document is not None else {}
+            body = _parse_probe(
+                await self._reader.read(response), document is not None
+            )
             self._record_clock(response)
             return ProbeResponse(
                 response.headers.get(headers.INCARNATION, ""),
@@ -286,3 +297,20 @@
                 skip_auto_headers=("User-Agent", "Accept-Encoding"),
             )
         return self._session
+
+
+def _parse_probe(body: bytes, has_document: bool) -> dict:
+    """Returns the document in the answer to a grant.
+
+    Raises:
+        aiohttp.ClientPayloadError: The body is not a JSON object.
+    """
+    if not has_document:
+        return {}
+    try:
+        document = json.loads(body)
+    except ValueError as exc:
+        raise aiohttp.ClientPayloadError("body is not JSON") from exc
+    if not isinstance(document, dict):
+        raise aiohttp.ClientPayloadError("body is not a JSON object")
+    return document
--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -13,9 +13,8 @@
 from jujubeyard import bodies
 from jujubeyard.node import protocol
 
-MIB = 1024 * 1024
-MAX_ANSWER_BYTES = 8 * MIB
-MAX_BUFFERED_BYTES = 48 * MIB
+MAX_ANSWER_BYTES = 8 * bodies.MIB
+MAX_BUFFERED_BYTES = 48 * bodies.MIB
 """Largest size of all answers that are being read. The smallest VMs have 200
 MB, of which a node without calls uses a quarter."""
 
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from jujubeyard import bodies
 from jujubeyard.node import protocol
 from jujubeyard.node import upstream
 from tests.utils import raw_server
@@ -138,7 +139,7 @@
 BLOCK = b"x" * 65536
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n" * 1000
 OTHER_ANSWERS = raw_server.answer("c0", b"old") * 1000
-MAX_SENT_BYTES = 32 * upstream.MIB
+MAX_SENT_BYTES = 32 * bodies.MIB
 
 
 @pytest.mark.parametrize("fresh", [False, True])
