Take no earlier reply of a target for that to a release or a grant

Callers would see two targets run calls for one key (OWNER), or orders twice.

Cause, found by looking for the class of the refusal written once more: grants and releases carry no id, and the leader sent them on kept connections. A target that writes its reply to a grant once more confirms the release that is sent next, while its calls still run; an earlier 421 written once more 'proves' that another process is at the address, so that the keys are given away at once.

Change: each release has a connection of its own, and a connection on which a request without an id was refused isn't used again.

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -151,6 +151,9 @@
         self._request_session = upstream.make_session(
             header_names, force_close=False
         )
+        self._release_session = upstream.make_session(
+            header_names, force_close=True
+        )
         self._store = store.PlatformStore(
             str(cfg.store),
             self._store_session,
@@ -185,6 +188,7 @@
         coordinator_client = ownership_client.OwnershipClient(
             self._store,
             self._request_session,
+            self._release_session,
             target_client.TargetClient(self._health_path),
             self._view.table_key,
             self._publish_written_table,
--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -19,6 +19,7 @@
 MB, of which a node without calls uses a quarter."""
 
 MIN_FINAL_STATUS = 200
+MIN_FAILURE_STATUS = 300
 MAX_MESSAGES_PER_CALL = 16
 """Answers to other calls and interim answers after which the answer of a call
 is not waited for any longer."""
@@ -134,7 +135,9 @@
     async def read(self):
         """Returns the next answer, without those that belong to other calls.
 
-        Once such an answer was discarded, the connection is not reused.
+        Once such an answer was discarded, the connection is not reused, nor
+        after a refusal of a request that has no ID: written once more, it could
+        not be told from the answer to the next request.
 
         Raises:
             aiohttp.ClientPayloadError: Too many answers came that are not the
@@ -148,6 +151,8 @@
                 raise aiohttp.ClientPayloadError("too many answers")
             call_id = message.headers.get(self._header_names.call_id)
             if call_id is None or self._expected_call_id in (None, call_id):
+                if self._expected_call_id is None:
+                    self._is_out_of_sync |= message.code >= MIN_FAILURE_STATUS
                 if message.code >= MIN_FINAL_STATUS:
                     payload.on_eof(self._finish_answer)
                 return message, payload
--- a/src/jujubeyard/ownership/ownership_client.py
+++ b/src/jujubeyard/ownership/ownership_client.py
@@ -49,6 +49,7 @@
         self,
         store: interface.Store,
         session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
         target_client: TargetClient,
         table_key: collections.abc.Callable[[str], str],
         publish: collections.abc.Callable[[table.ShardTable], None],
@@ -58,7 +59,10 @@
 
         Args:
             store: Holds the tables.
-            session: HTTP session for requests to targets.
+            session: HTTP session for grants and health checks.
+            fresh_session: HTTP session for releases, which makes a connection
+                for each, so that no earlier reply of the target is taken for
+                the confirmation of a release.
             target_client: Speaks the targets' protocol.
             table_key: Returns the key of a service's table in the store.
             publish: Publishes a stored table to this and all other nodes.
@@ -66,6 +70,7 @@
         """
         self._store = store
         self._session = session
+        self._fresh_session = fresh_session
         self._target_client = target_client
         self._table_key = table_key
         self._publish = publish
@@ -109,7 +114,7 @@
             seconds: Timeout.
         """
         return await target_requests.send_request(
-            self._target_client.release, self._session, request, seconds
+            self._target_client.release, self._fresh_session, request, seconds
         )
 
     async def probe(
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -52,6 +52,7 @@
         client = ownership_client.OwnershipClient(
             self.store,
             None,
+            None,
             self.target_client,
             lambda service: f"own/shards/{service}",
             self.tables.append,
--- /dev/null
+++ b/tests/platform/test_target_client.py
@@ -0,0 +1,80 @@
+"""Tests of requests to targets, with scripted replies."""
+
+import asyncio
+
+import pytest
+
+from jujubeyard import bodies
+from jujubeyard.node import upstream
+from jujubeyard.ownership import ownership_client
+from jujubeyard.ownership import table
+from jujubeyard.ownership import target_requests
+from jujubeyard.platform import headers
+from jujubeyard.platform import target_client
+from tests.utils import raw_server
+
+CONFIRMATION = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nJujubeyard-Handover: h1\r\n\r\n"
+)
+GRANTED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+MISDIRECTED = b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
+ENDLESS = [
+    b"HTTP/1.1 200 OK\r\n\r\n",
+    raw_server.Repeat(b"x" * 65536),
+]
+DONE = target_requests.Outcome.DONE
+GONE = target_requests.Outcome.GONE
+UNKNOWN = target_requests.Outcome.UNKNOWN
+
+
+@pytest.fixture
+async def client():
+    kept = upstream.make_session(headers.NAMES, force_close=False)
+    fresh = upstream.make_session(headers.NAMES, force_close=True)
+    yield ownership_client.OwnershipClient(
+        None,
+        kept,
+        fresh,
+        target_client.TargetClient(lambda _: "/health"),
+        str,
+        print,
+        None,
+    )
+    await kept.close()
+    await fresh.close()
+
+
+async def _request(client, address: str, operation: str):
+    owner = table.Owner("t1", 1, address)
+    if operation == "probe":
+        return await client.probe("desk", owner)
+    if operation == "grant":
+        grant = target_requests.GrantRequest(owner, 0, 9, 1, 1.0, "")
+        return (await client.grant(grant, 1.0)).outcome
+    release = target_requests.ReleaseRequest(owner, 0, 9, 2)
+    return (await client.release(release, 1.0)).outcome
+
+
+@pytest.mark.parametrize(
+    ("first", "reply"),
+    [
+        pytest.param("grant", GRANTED, id="that of a grant"),
+        pytest.param("release", CONFIRMATION, id="that of a release"),
+    ],
+)
+async def test_reply_written_once_more_does_not_confirm_a_release(
+    client, first, reply
+):
+    async with raw_server.RawServer([reply], [CONFIRMATION]) as server:
+        assert await _request(client, server.address, first) is DONE
+        assert await _request(client, server.address, "release") is DONE
+        assert server.connections == 2
+
+
+async def test_refusal_written_once_more_does_not_prove_that_an_owner_is_gone(
+    client,
+):
+    async with raw_server.RawServer([MISDIRECTED], [GRANTED]) as server:
+        assert await _request(client, server.address, "grant") is GONE
+        assert await _request(client, server.address, "grant") is DONE
+        assert server.connections == 2
