--- a/src/jujubeyard/platform/target_client.py
+++ b/src/jujubeyard/platform/target_client.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from jujubeyard import bodies
 from jujubeyard import durations
 from jujubeyard.ownership import table
 from jujubeyard.ownership import target_requests
@@ -12,6 +13,7 @@
 from jujubeyard.platform import headers
 
 PROBE_TIMEOUT_SECONDS = 0.4
+MAX_BODY_BYTES = 64 * 1024
 
 
 async def send_grant(
@@ -107,7 +109,7 @@
             async with session.get(
                 f"http://{owner.address}{path}", timeout=timeout
             ) as resp:
-                await resp.read()
+                await _read_body(resp)
                 target_id = resp.headers.get(headers.NAMES.target)
         except (aiohttp.ClientError, TimeoutError, OSError):
             return target_requests.Outcome.UNKNOWN
@@ -129,10 +131,15 @@
         },
         timeout=aiohttp.ClientTimeout(total=seconds, sock_connect=seconds),
     ) as resp:
-        await resp.read()
+        await _read_body(resp)
         load = resp.headers.get(names.load)
         return target_requests.Reply(
             resp.status,
             resp.headers.get(names.handover, ""),
             documents.parse_load_report(load) if load else None,
         )
+
+
+async def _read_body(resp: aiohttp.ClientResponse) -> None:
+    """Reads the body of a reply, which is not needed, to its end."""
+    await bodies.BodyReader(MAX_BODY_BYTES, MAX_BODY_BYTES).read(resp)
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -78,3 +78,12 @@
         assert await _request(client, server.address, "grant") is GONE
         assert await _request(client, server.address, "grant") is DONE
         assert server.connections == 2
+
+
+@pytest.mark.parametrize("operation", ["grant", "release", "probe"])
+async def test_endless_reply_of_a_target_is_not_read(client, operation):
+    async with raw_server.RawServer(ENDLESS) as server:
+        assert await _request(client, server.address, operation) is UNKNOWN
+        async with asyncio.timeout(1.0):
+            await server.repeat_ended.wait()
+    assert server.repeated_bytes < 32 * bodies.MIB
