Read the items when their history is larger, and bound the store's answers

Change: a watch whose answer is over 1 MiB ends as TOO_LARGE, from its Content-Length if it has one, and the mirror reads the items, which have the latest version only; other answers may have 4 MiB, a read 100 pages.

Evidence: five cases failed on the old code (history, endless answers of read_all, read and watch, endless pages), pass now; the mirror's step after TOO_LARGE is tested beside that after compaction.

--- a/src/jujubeyard/platform/store.py
+++ b/src/jujubeyard/platform/store.py
@@ -9,6 +9,7 @@
 import aiohttp
 import result
 
+from jujubeyard import bodies
 from jujubeyard import durations
 from jujubeyard import errors
 from jujubeyard.platform import documents
@@ -22,6 +23,15 @@
 MAX_ANSWER_SECONDS = 10.0
 """Longest transfer of an answer."""
 
+MAX_ANSWER_BYTES = 4 * bodies.MIB
+"""Largest size of an answer. A page of items has about one MiB."""
+
+MAX_WATCH_BYTES = bodies.MIB
+"""Largest size of the answer to a watch."""
+
+MAX_PAGES = 100
+"""Largest number of pages that a read of all items may have."""
+
 FAILURE_KINDS = {
     404: interface.FailureKind.NO_LEASE,
     410: interface.FailureKind.COMPACTED,
@@ -64,7 +74,7 @@
         page, so that a watch from it also returns changes made between pages.
         """
         items, after, revision = [], "", 0
-        while True:
+        for _ in range(MAX_PAGES):
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
@@ -79,6 +89,9 @@
             if not document["hasMore"] or not document["items"]:
                 return result.Ok(interface.ItemBatch(tuple(items), revision))
             after = items[-1].key
+        return _make_failure(
+            interface.FailureKind.TOO_LARGE, f"more than {MAX_PAGES} pages"
+        )
 
     async def read(
         self, key: str
@@ -108,7 +121,12 @@
         }
         timeout = seconds + self._watch_slack_seconds
         outcome = await self._call(
-            "GET", "/kv-watch", None, query, timeout, transfer
+            "GET",
+            "/kv-watch",
+            query=query,
+            timeout=timeout,
+            transfer=transfer,
+            max_bytes=MAX_WATCH_BYTES,
         )
         return outcome.map(
             lambda document: interface.ItemBatch(
@@ -171,6 +189,7 @@
         query: dict | None = None,
         timeout: float | None = None,
         transfer: interface.Transfer | None = None,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> result.Result[dict, interface.Failure]:
         client_timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=self._call_seconds
@@ -190,8 +209,10 @@
                 ) as resp,
             ):
                 reply = await _read_body(
-                    resp, limit, transfer or interface.Transfer()
+                    resp, limit, transfer or interface.Transfer(), max_bytes
                 )
+        except bodies.BodyTooLargeError as exc:
+            return _make_failure(interface.FailureKind.TOO_LARGE, str(exc))
         except aiohttp.ClientConnectorError as exc:
             return _make_failure(interface.FailureKind.NOT_APPLIED, repr(exc))
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
@@ -211,6 +232,7 @@
     resp: aiohttp.ClientResponse,
     limit: asyncio.Timeout,
     transfer: interface.Transfer,
+    max_bytes: int,
 ) -> bytes:
     """Returns the body of an answer, and records its progress.
 
@@ -218,20 +240,32 @@
         resp: The answer.
         limit: Time limit of the call; it is extended while bytes arrive.
         transfer: Is updated with each received part.
+        max_bytes: Largest size of the body.
 
     Raises:
+        bodies.BodyTooLargeError: The body is too large.
         TimeoutError: The store paused for too long.
     """
     now = asyncio.get_running_loop().time
     latest_end = limit.when() + MAX_ANSWER_SECONDS
     body = bytearray()
+    _check_size(resp, resp.content_length or 0, max_bytes)
     async for chunk in resp.content.iter_any():
         body += chunk
+        _check_size(resp, len(body), max_bytes)
         transfer.record_chunk(len(chunk), time.monotonic())
         limit.reschedule(min(now() + ANSWER_SILENCE_SECONDS, latest_end))
     return bytes(body)
 
 
+def _check_size(
+    resp: aiohttp.ClientResponse, size: int, max_bytes: int
+) -> None:
+    if size > max_bytes:
+        resp.close()
+        raise bodies.BodyTooLargeError(f"answer of over {max_bytes} bytes")
+
+
 def _make_failure(kind: interface.FailureKind, detail: str) -> result.Err:
     return result.Err(interface.Failure(kind, detail))
 
--- a/src/jujubeyard/store/interface.py
+++ b/src/jujubeyard/store/interface.py
@@ -26,6 +26,9 @@
     COMPACTED = "compacted"
     """The store has discarded the requested part of its history."""
 
+    TOO_LARGE = "too large"
+    """The answer is larger than its reader accepts."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -29,6 +29,13 @@
 """Size from which on the transfer of an answer is logged."""
 
 
+READ_ALL_KINDS = frozenset(
+    {interface.FailureKind.COMPACTED, interface.FailureKind.TOO_LARGE}
+)
+"""Failures of a watch after which all items are read. A watch whose answer is
+too large would bring several versions of an item; a read brings the latest."""
+
+
 class Listener(typing.Protocol):
     """Receiver of the items that a mirror reads."""
 
@@ -59,14 +66,14 @@
     """Reads all items under a prefix, then watches for changes.
 
     All items are read again if the store has discarded the history that the
-    watch needs.
+    watch needs, or if the changes in it are larger than the items.
 
     Attributes:
         prefix: Prefix of the followed keys.
         is_low_latency: Whether to deliver changes sooner, with more calls to
             the store.
         revision: Store revision up to which changes were delivered; None
-            before the first read and after compaction.
+            before the first read and while all items are read again.
         latest_revision: Revision of the latest change under the prefix.
     """
 
@@ -149,7 +156,7 @@
         if outcome.is_err():
             detail = outcome.err_value.detail
             self._log_call("watch failed", started_at, transfer, detail)
-            if outcome.err_value.kind is interface.FailureKind.COMPACTED:
+            if outcome.err_value.kind in READ_ALL_KINDS:
                 self.revision = None
                 return
             await self._handle_failure(outcome.err_value)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,10 +1,12 @@
 """Tests of the store client with answers that arrive slowly or not at all."""
 
+import asyncio
 import base64
 import json
 
 import pytest
 
+from jujubeyard import bodies
 from jujubeyard.node import upstream
 from jujubeyard.platform import headers
 from jujubeyard.platform import store
@@ -16,7 +18,7 @@
 CHUNK_PAUSE_SECONDS = 0.1
 
 
-def _make_answer(value_bytes: int) -> bytes:
+def _make_answer(value_bytes: int, versions: int = 1) -> bytes:
     entry = {
         "key": "op/config",
         "value": base64.b64encode(b"x" * value_bytes).decode(),
@@ -25,8 +27,8 @@
         "lease": 0,
     }
     document = {
-        "items": [entry],
-        "events": [entry],
+        "items": [entry] * versions,
+        "events": [entry] * versions,
         "hasMore": False,
         "storeRevision": 9,
     }
@@ -86,3 +88,35 @@
     async with raw_server.RawServer(steps) as server:
         outcome = await make_store(server.address).read_all("op/")
     assert outcome.err_value.kind is interface.FailureKind.UNKNOWN
+
+
+async def test_history_of_a_large_configuration_is_not_transferred(make_store):
+    answer = _make_answer(300_000, versions=20)
+    steps = _send_slowly(answer, 20)
+    async with raw_server.RawServer(steps) as server:
+        outcome = await make_store(server.address).watch("op/", 1, 1.0)
+    assert outcome.err_value.kind is interface.FailureKind.TOO_LARGE
+
+
+@pytest.mark.parametrize("operation", ["read_all", "read", "watch"])
+async def test_endless_answer_of_the_store_does_not_exhaust_memory(
+    make_store, operation
+):
+    head = b"HTTP/1.1 200 OK\r\n\r\n"
+    script = [head, raw_server.Repeat(b"x" * 65536)]
+    async with raw_server.RawServer(script) as server:
+        client = make_store(server.address)
+        arguments = ("op/", 1, 1.0) if operation == "watch" else ("op/",)
+        outcome = await getattr(client, operation)(*arguments)
+        async with asyncio.timeout(1.0):
+            await server.repeat_ended.wait()
+    assert outcome.err_value.kind is interface.FailureKind.TOO_LARGE
+    assert server.repeated_bytes < 32 * bodies.MIB
+
+
+async def test_pages_of_the_store_do_not_go_on_without_end(make_store):
+    page = _make_answer(10).replace(b"false", b"true ")
+    script = [[page]] * (store.MAX_PAGES + 5)
+    async with raw_server.RawServer(*script) as server:
+        outcome = await make_store(server.address).read_all("op/")
+    assert outcome.err_value.kind is interface.FailureKind.TOO_LARGE
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -63,6 +63,7 @@
 
 UNKNOWN = _failed(interface.FailureKind.UNKNOWN)
 COMPACTED = _failed(interface.FailureKind.COMPACTED)
+TOO_LARGE = _failed(interface.FailureKind.TOO_LARGE)
 
 
 @pytest.fixture(autouse=True)
@@ -104,8 +105,9 @@
     assert ("outage", "unknown") in listener.calls
 
 
-async def test_all_items_are_read_again_after_compaction():
-    listener, _ = await _run_steps(ScriptedStore(COMPACTED), 3)
+@pytest.mark.parametrize("failure", [COMPACTED, TOO_LARGE])
+async def test_all_items_are_read_again_instead_of_the_history(failure):
+    listener, _ = await _run_steps(ScriptedStore(failure), 3)
     assert listener.calls == [("all", ["a"])] * 2
 
 
