Count the answer that a registration has expired as an answer of the store

Callers could see configurations and draining targets late (CONFIG, DRAIN) after an outage of over 10 s, or one in which the store takes leases away.

Change: any answer of the store counts, as do those of the registration.

Evidence: 'expired in an outage' and 'opened after expiry' failed on the old code and pass now.

--- a/src/jujubeyard/node/tasks.py
+++ b/src/jujubeyard/node/tasks.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections.abc
 
+import result
+
 from jujubeyard import clock
 from jujubeyard.node import cluster_view
 from jujubeyard.node import journal
@@ -56,18 +58,16 @@
                 )
                 continue
             outcome = await self._store.renew_lease(self._lease)
-            if outcome.is_err():
-                if outcome.err_value.kind is interface.FailureKind.NO_LEASE:
-                    self._log.log_event(
-                        "node registration expired", lease=self._lease
-                    )
-                    self._lease = 0
-                    continue
-                self._health.record_failure(outcome.err_value)
+            self._record(outcome)
+            if outcome.is_ok():
+                await asyncio.sleep(LEASE_RENEW_SECONDS)
+            elif outcome.err_value.kind is interface.FailureKind.NO_LEASE:
+                self._log.log_event(
+                    "node registration expired", lease=self._lease
+                )
+                self._lease = 0
+            else:
                 await asyncio.sleep(RENEW_RETRY_SECONDS)
-                continue
-            self._health.record_success()
-            await asyncio.sleep(LEASE_RENEW_SECONDS)
 
     async def end(self) -> None:
         """Removes the registration by ending its lease."""
@@ -77,10 +77,12 @@
 
     async def _register(self) -> bool:
         lease = await self._store.open_lease(REGISTRATION_LEASE_SECONDS)
+        self._record(lease)
         if lease.is_err():
             return False
         item = interface.Put(self._key, self._node.encode(), lease.ok_value)
         outcome = await self._store.write([], [item])
+        self._record(outcome)
         if outcome.is_err():
             self._log.log_event(
                 "node registration failed", detail=outcome.err_value.detail
@@ -89,6 +91,15 @@
         self._lease = lease.ok_value
         return True
 
+    def _record(self, outcome: result.Result) -> None:
+        """Records whether the store responded, even if the lease is gone."""
+        if outcome.is_ok():
+            self._health.record_success()
+        elif outcome.err_value.kind is interface.FailureKind.NO_LEASE:
+            self._health.record_success()
+        else:
+            self._health.record_failure(outcome.err_value)
+
 
 class CoordinatorRunner:
     """Runs a shard coordinator for each keyed service while the node leads."""
