Bound the bodies of callers that a node holds at once

Callers saw nothing yet; found by looking for bytes without end on every socket. Cause: a node read up to 64 MiB of each body, and the library raises its own buffers to the same size; four such callers exhaust a VM of 200 MB.

Change: 8 MiB a body (413) and 32 MiB of all bodies that are being read (429 with Retry-After, since the call has not run); the connection is closed, the rest of the body is discarded for 1 s at most.

--- a/src/jujubeyard/bodies.py
+++ b/src/jujubeyard/bodies.py
@@ -9,6 +9,10 @@
     """A body is larger than its reader accepts."""
 
 
+class BuffersFullError(aiohttp.ClientPayloadError):
+    """All bodies that are being read are larger than their reader accepts."""
+
+
 class BodyReader:
     """Reads bodies, whose sizes are limited singly and together.
 
@@ -27,25 +31,25 @@
         self._max_buffered_bytes = max_buffered_bytes
         self.buffered_bytes = 0
 
-    async def read(self, resp: aiohttp.ClientResponse) -> bytes:
-        """Returns the body of a response.
+    async def read(self, content: aiohttp.StreamReader) -> bytes:
+        """Returns a body that is received.
 
-        The connection is closed if the body isn't read to its end.
+        A connection whose body isn't read to its end must be closed.
+
+        Args:
+            content: The content of a request or a response.
 
         Raises:
-            BodyTooLargeError: The body is too large, or all bodies together
-                are.
+            BodyTooLargeError: The body is too large.
+            BuffersFullError: All bodies together are too large.
             aiohttp.ClientError: The body is incomplete.
         """
         body = bytearray()
         try:
-            async for chunk in resp.content.iter_any():
+            async for chunk in content.iter_any():
                 self.buffered_bytes += len(chunk)
                 body += chunk
                 self._check(len(body))
-        except BaseException:
-            resp.close()
-            raise
         finally:
             self.buffered_bytes -= len(body)
         return bytes(body)
@@ -56,6 +60,6 @@
                 f"body of over {self._max_body_bytes} bytes"
             )
         if self.buffered_bytes > self._max_buffered_bytes:
-            raise BodyTooLargeError(
+            raise BuffersFullError(
                 f"bodies of over {self._max_buffered_bytes} bytes together"
             )
--- a/src/jujubeyard/gate/upstream.py
+++ b/src/jujubeyard/gate/upstream.py
@@ -157,7 +157,7 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            body = await self._reader.read(response)
+            body = await self._reader.read(response.content)
             self._record_clock(response)
             refusal = response.headers.get(headers.REFUSED, "")
             # An answer may lack the call's ID; a refusal may not.
@@ -236,7 +236,7 @@
             timeout=timeout,
         ) as response:
             body = _parse_probe(
-                await self._reader.read(response), document is not None
+                await self._reader.read(response.content), document is not None
             )
             self._record_clock(response)
             return ProbeResponse(
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -6,16 +6,24 @@
 
 from aiohttp import web
 
+from jujubeyard import bodies
 from jujubeyard import codes
 from jujubeyard.node import calls
 from jujubeyard.node import protocol
 from jujubeyard.node import settings
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_BODY_BYTES = 8 * bodies.MIB
+MAX_BUFFERED_BYTES = 32 * bodies.MIB
+"""Largest size of all bodies that are being read from callers."""
+
+LINGER_SECONDS = 1.0
+"""How long the rest of a body is discarded after an early answer."""
+
 MAX_HEADER_BYTES = 64 * 1024
 IDLE_TIMEOUT_SECONDS = 120.0
 BACKLOG = 1024
 SHUTDOWN_RETRY_SECONDS = 0.05
+BUFFERS_FULL_RETRY_SECONDS = 0.5
 DEFAULT_CALL_TIMEOUT_SECONDS = 30.0
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
@@ -59,13 +67,17 @@
         self.is_shutting_down = False
         self.is_refusing_calls = False
         self._site: web.TCPSite | None = None
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        self._body_reader = bodies.BodyReader(
+            MAX_BODY_BYTES, MAX_BUFFERED_BYTES
+        )
+        app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._handle_request)
         self._runner = web.AppRunner(
             app,
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=IDLE_TIMEOUT_SECONDS,
+            lingering_time=LINGER_SECONDS,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
@@ -101,7 +113,12 @@
             self.active -= 1
 
     async def _answer_request(self, req: web.Request) -> web.StreamResponse:
-        body = await req.read()
+        try:
+            body = await self._body_reader.read(req.content)
+        except bodies.BodyTooLargeError:
+            return self._refuse_body(codes.ResultCode.BODY_TOO_LARGE)
+        except bodies.BuffersFullError:
+            return self._refuse_body(codes.ResultCode.OVERLOADED)
         if self.is_refusing_calls:
             code = codes.ResultCode.SHUTTING_DOWN
             return self._make_response(
@@ -115,6 +132,15 @@
             )
         return self._make_response(await self._handle_call(call))
 
+    def _refuse_body(self, code: codes.ResultCode) -> web.Response:
+        """Returns the response to a request whose body isn't read whole."""
+        retry_after = 0.0
+        if code is codes.ResultCode.OVERLOADED:
+            retry_after = BUFFERS_FULL_RETRY_SECONDS
+        resp = self._make_response(calls.make_error_reply(code, retry_after))
+        resp.force_close()
+        return resp
+
     def _parse_call(self, req: web.Request, body: bytes) -> calls.Call:
         """Returns the call in a request.
 
--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -295,7 +295,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as resp:
-                body = await self._reader.read(resp)
+                body = await self._reader.read(resp.content)
                 return _classify_answer(resp, body)
         except (
             aiohttp.ClientConnectorError,
--- a/src/jujubeyard/platform/target_client.py
+++ b/src/jujubeyard/platform/target_client.py
@@ -142,4 +142,4 @@
 
 async def _read_body(resp: aiohttp.ClientResponse) -> None:
     """Reads the body of a reply, which is not needed, to its end."""
-    await bodies.BodyReader(MAX_BODY_BYTES, MAX_BODY_BYTES).read(resp)
+    await bodies.BodyReader(MAX_BODY_BYTES, MAX_BODY_BYTES).read(resp.content)
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -128,3 +128,51 @@
     head, _ = await _read_answer(reader)
     assert b"keep-alive" not in head.lower()
     assert b"x: 1" in head.lower()
+
+
+CHUNKED_REQUEST = (
+    b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Call: c1\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+CHUNK = b"10000\r\n" + b"x" * 65536 + b"\r\n"
+
+
+async def _send_chunks(writer, count: int) -> None:
+    writer.write(CHUNKED_REQUEST)
+    try:
+        for _ in range(count):
+            writer.write(CHUNK)
+            await writer.drain()
+    except ConnectionError:
+        return
+
+
+async def test_endless_body_of_a_caller_is_refused_and_closed(harness):
+    reader, writer = await harness.connect()
+    sending = asyncio.create_task(_send_chunks(writer, 10**9))
+    head, _ = await _read_answer(reader)
+    assert head.startswith(b"HTTP/1.1 413 ")
+    assert b"Connection: close" in head
+    async with asyncio.timeout(server.LINGER_SECONDS + 2.0):
+        await sending
+    assert not harness.calls
+
+
+async def test_bodies_of_many_callers_share_a_memory_limit(harness):
+    conns = [await harness.connect() for _ in range(20)]
+    async with asyncio.timeout(10.0):
+        await asyncio.gather(*(_send_chunks(writer, 60) for _, writer in conns))
+        answers = [
+            asyncio.create_task(_read_answer(reader)) for reader, _ in conns
+        ]
+        await asyncio.sleep(0.5)
+    heads = [answer.result()[0] for answer in answers if answer.done()]
+    assert heads
+    assert all(head.startswith(b"HTTP/1.1 429 ") for head in heads)
+    assert all(b"Retry-After: " in head for head in heads)
+    buffered_bytes = harness.server._body_reader.buffered_bytes
+    assert 0 < buffered_bytes <= server.MAX_BUFFERED_BYTES
+    for answer in answers:
+        answer.cancel()
+    for _, writer in conns:
+        writer.close()
