Log when a node learns that a target is draining

Cause of the gap: the view compared a listing with the one that the registry had just put in its place, so that a change within one incarnation, such as 'draining', never had a line.

Change: the listing before is kept for the comparison; the time that a target stays cold, which falls with each heartbeat, is not counted.

--- a/src/jujubeyard/node/cluster_view.py
+++ b/src/jujubeyard/node/cluster_view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import functools
 import time
 
@@ -187,12 +188,9 @@
     def _(self, change: changes.TargetListed) -> None:
         now = time.monotonic()
         current = self.registry.targets.get(change.listing.target_id)
-        is_new_incarnation = self.registry.put(change.listing, now)
-        if (
-            current is None
-            or is_new_incarnation
-            or current.listing != change.listing
-        ):
+        before = current.listing if current is not None else None
+        self.registry.put(change.listing, now)
+        if before is None or _differs(before, change.listing):
             self._log.log_event(
                 "target listed",
                 target=change.listing.target_id,
@@ -228,3 +226,10 @@
             self.nodes.discard(node)
         else:
             self.nodes.add(node)
+
+
+def _differs(before: registry.Listing, after: registry.Listing) -> bool:
+    """Returns whether two listings differ in more than the time left cold."""
+    return (
+        dataclasses.replace(after, cold_seconds=before.cold_seconds) != before
+    )
