Count the use of a leaving target from when it may have begun to leave

Callers' keyed calls reached a target that had said that it was draining later than the limit allows (DRAIN).

Cause: the owner of a key is used for a fraction of the limit (half of it; 0.6 for an evacuated zone) while the leader moves its keys. That was counted from when the node learned of the change, with the hope that it learns within the other half.

Change: a mirror gives with its items the time since which they may have changed: that of the answer before, or of this one if the watch had to wait for it. Draining, removal and evacuation count from then; at the first read nothing is known, and such targets get no keyed calls at all. With the delay counted, the fraction is 0.6 for both limits.

--- a/src/jujubeyard/node/cluster_view.py
+++ b/src/jujubeyard/node/cluster_view.py
@@ -53,6 +53,7 @@
         self._log = log
         self._leadership: leader.Leadership | None = None
         self._tables_changed = asyncio.Event()
+        self._changed_at = float("-inf")
         self.routes: match.RouteTable | None = None
         self.registry = registry.Registry()
         self.tables: dict[str, table.ShardTable] = {}
@@ -98,9 +99,19 @@
             self.apply_table(new_table)
 
     def apply_snapshot(
-        self, prefix: str, items: collections.abc.Sequence[interface.Item]
+        self,
+        prefix: str,
+        items: collections.abc.Sequence[interface.Item],
+        age_seconds: float,
     ) -> None:
-        """Replaces everything below a prefix; missing items were removed."""
+        """Replaces everything below a prefix; missing items were removed.
+
+        Args:
+            prefix: The prefix.
+            items: All items below it.
+            age_seconds: Time since which items may have changed, in seconds.
+        """
+        self._changed_at = time.monotonic() - age_seconds
         decoded = [self._decode_item(item) for item in items]
         if prefix == self.prefixes.targets:
             self._remove_unlisted_targets(decoded)
@@ -121,7 +132,7 @@
             for change in decoded
             if isinstance(change, changes.TargetListed)
         }
-        self.registry.keep_only(listed, time.monotonic())
+        self.registry.keep_only(listed, time.monotonic(), self._changed_at)
 
     def _end_unlisted_evacuations(self, decoded: list[changes.Change]) -> None:
         zones = {
@@ -130,12 +141,20 @@
             if isinstance(change, changes.ZoneChanged)
         }
         for zone in self.registry.evacuated_since.keys() - zones:
-            self.registry.set_evacuated(zone, False, time.monotonic())
+            self.registry.set_evacuated(zone, False, self._changed_at)
 
     def apply_changes(
-        self, items: collections.abc.Sequence[interface.Item]
+        self,
+        items: collections.abc.Sequence[interface.Item],
+        age_seconds: float,
     ) -> None:
-        """Applies items that were written or removed."""
+        """Applies items that were written or removed.
+
+        Args:
+            items: The items.
+            age_seconds: Time since which they may have changed, in seconds.
+        """
+        self._changed_at = time.monotonic() - age_seconds
         for item in items:
             self._apply(self._decode_item(item))
 
@@ -177,8 +196,9 @@
 
     @_apply.register
     def _(self, change: changes.ZoneChanged) -> None:
-        now = time.monotonic()
-        self.registry.set_evacuated(change.zone, change.evacuated, now)
+        self.registry.set_evacuated(
+            change.zone, change.evacuated, self._changed_at
+        )
         self._log.log_event(
             "zone evacuated" if change.evacuated else "zone evacuation ended",
             zone=change.zone,
@@ -189,7 +209,7 @@
         now = time.monotonic()
         current = self.registry.targets.get(change.listing.target_id)
         before = current.listing if current is not None else None
-        self.registry.put(change.listing, now)
+        self.registry.put(change.listing, now, self._changed_at)
         if before is None or _differs(before, change.listing):
             self._log.log_event(
                 "target listed",
@@ -204,7 +224,7 @@
     @_apply.register
     def _(self, change: changes.TargetRemoved) -> None:
         now = time.monotonic()
-        self.registry.remove(change.target_id, now)
+        self.registry.remove(change.target_id, now, self._changed_at)
         self._log.log_event("target no longer listed", target=change.target_id)
 
     @_apply.register
--- a/src/jujubeyard/node/owners.py
+++ b/src/jujubeyard/node/owners.py
@@ -16,15 +16,13 @@
 the shard is granted again."""
 
 MOVED_RETRY_SECONDS = 0.2
-DRAIN_CALL_FRACTION = 0.5
+DRAIN_CALL_FRACTION = 0.6
 """Fraction of the drain limit during which a draining or removed target still
-receives keyed calls. The node may learn of the drain late by half that time.
-"""
+receives keyed calls."""
 
 EVACUATION_CALL_FRACTION = 0.6
 """Fraction of the evacuation limit during which the targets of an evacuated
-zone still receive keyed calls. The node may learn of the evacuation late by
-half that time."""
+zone still receive keyed calls."""
 
 
 class OwnerLookup:
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -25,6 +25,9 @@
 """Longest wait for the store to recover before the next attempt."""
 
 RETRY_JITTER_SECONDS = 0.15
+IMMEDIATE_ANSWER_SECONDS = 0.3
+"""Time within which a watch is answered if there are changes already."""
+
 LARGE_ANSWER_BYTES = 65536
 """Size from which on the transfer of an answer is logged."""
 
@@ -40,14 +43,30 @@
     """Receiver of the items that a mirror reads."""
 
     def apply_snapshot(
-        self, prefix: str, items: collections.abc.Sequence[interface.Item]
+        self,
+        prefix: str,
+        items: collections.abc.Sequence[interface.Item],
+        age_seconds: float,
     ) -> None:
-        """Replaces all items under a prefix; missing items were removed."""
+        """Replaces all items under a prefix; missing items were removed.
+
+        Args:
+            prefix: Prefix of the keys.
+            items: All items.
+            age_seconds: Time since which items may have changed, in seconds.
+        """
 
     def apply_changes(
-        self, items: collections.abc.Sequence[interface.Item]
+        self,
+        items: collections.abc.Sequence[interface.Item],
+        age_seconds: float,
     ) -> None:
-        """Applies updated and removed items."""
+        """Applies updated and removed items.
+
+        Args:
+            items: The items.
+            age_seconds: Time since which they may have changed, in seconds.
+        """
 
 
 class Journal(typing.Protocol):
@@ -104,6 +123,7 @@
         self._batch_seconds = batch_seconds
         self._is_next_watch_short = False
         self._behind = asyncio.Event()
+        self._current_at = float("-inf")
         self.prefix = prefix
         self.is_low_latency = False
         self.revision: int | None = None
@@ -138,7 +158,9 @@
         self._log_large_answer(started_at, transfer)
         self._record_success()
         items = outcome.ok_value.items
-        self._listener.apply_snapshot(self.prefix, items)
+        age = time.monotonic() - self._current_at
+        self._current_at = started_at
+        self._listener.apply_snapshot(self.prefix, items, age)
         self.revision = outcome.ok_value.revision
         self._update_latest_revision(items)
 
@@ -165,8 +187,9 @@
         self._record_success()
         items = outcome.ok_value.items
         self.revision = max(self.revision, outcome.ok_value.revision)
+        age = self._measure_age(started_at, transfer)
         if items:
-            self._listener.apply_changes(items)
+            self._listener.apply_changes(items, age)
             self._update_latest_revision(items)
             pause = LOW_LATENCY_BATCH_SECONDS
             await asyncio.sleep(
@@ -212,6 +235,27 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _measure_age(
+        self, started_at: float, transfer: interface.Transfer
+    ) -> float:
+        """Returns since when the changes that a watch returned may exist.
+
+        A watch that had to wait returns its changes as soon as they are made.
+        One that is answered at once may return changes that were made at any
+        time since the answer before.
+
+        Args:
+            started_at: When the watch was started, in monotonic seconds.
+            transfer: How its answer arrived.
+        """
+        now = time.monotonic()
+        answered_at = transfer.first_byte_at or now
+        made_after = self._current_at
+        if answered_at - started_at > IMMEDIATE_ANSWER_SECONDS:
+            made_after = max(made_after, answered_at - IMMEDIATE_ANSWER_SECONDS)
+        self._current_at = answered_at
+        return now - made_after
+
     def _log_large_answer(
         self, started_at: float, transfer: interface.Transfer
     ) -> None:
--- a/src/jujubeyard/targets/registry.py
+++ b/src/jujubeyard/targets/registry.py
@@ -52,10 +52,11 @@
         listing: Latest listing of the target.
         listed_at: When this incarnation of the target was first listed.
         cold_until: When the target stops being cold.
-        removed_at: When its listing was removed; 0.0 while it is listed.
+        removed_at: When its listing may have been removed; 0.0 while it is
+            listed.
         usable_until: Time until which it may be used while it isn't listed.
-        draining_since: When this node learned that it is draining; 0.0 if it
-            isn't.
+        draining_since: When it may have begun to drain; 0.0 if it isn't
+            draining.
         load: Estimated load of the target.
     """
 
@@ -81,8 +82,8 @@
 
     Attributes:
         targets: Targets by name.
-        evacuated_since: For each evacuated zone, when this node learned of
-            its evacuation, in monotonic seconds.
+        evacuated_since: For each evacuated zone, when its evacuation may have
+            begun, in monotonic seconds.
         version: Number that increases with each change.
     """
 
@@ -99,9 +100,16 @@
         """Records that the store is reachable again after an outage."""
         self._store_recovered_at = now
 
-    def put(self, listing: Listing, now: float) -> bool:
+    def put(
+        self, listing: Listing, now: float, changed_at: float | None = None
+    ) -> bool:
         """Adds or updates a target.
 
+        Args:
+            listing: Its listing.
+            now: Time at which the node learned of it.
+            changed_at: When it may have changed first; None for now.
+
         Returns:
             Whether the listing belongs to a new incarnation of a target that
             was already in the registry.
@@ -123,7 +131,7 @@
         if not listing.draining:
             target.draining_since = 0.0
         elif not target.draining_since:
-            target.draining_since = now
+            target.draining_since = now if changed_at is None else changed_at
         return is_new_incarnation
 
     def _service_mean(self, service: str) -> loads.DecayingMean:
@@ -132,33 +140,59 @@
             mean = self._service_means[service] = loads.make_service_mean()
         return mean
 
-    def remove(self, target_id: str, now: float) -> None:
+    def remove(
+        self, target_id: str, now: float, changed_at: float | None = None
+    ) -> None:
         """Marks a target as no longer listed.
 
         If the store was unreachable until recently, the listing may have
         expired only because of the outage. The target then stays usable for
         a short time.
+
+        Args:
+            target_id: Name of the target.
+            now: Time at which the node learned of it.
+            changed_at: When it may have been removed; None for now.
         """
         target = self.targets.get(target_id)
         if target is None or target.removed_at:
             return
         self.version += 1
-        target.removed_at = now
+        target.removed_at = now if changed_at is None else changed_at
         target.usable_until = min(
             now + UNLISTED_GRACE_SECONDS,
             max(now, self._store_recovered_at + RELIST_SECONDS),
         )
 
-    def keep_only(self, target_ids: set[str], now: float) -> None:
-        """Marks all targets except the given ones as no longer listed."""
+    def keep_only(
+        self,
+        target_ids: set[str],
+        now: float,
+        changed_at: float | None = None,
+    ) -> None:
+        """Marks all targets except the given ones as no longer listed.
+
+        Args:
+            target_ids: Names of the targets that are listed.
+            now: Time at which the node learned of it.
+            changed_at: When the others may have been removed; None for now.
+        """
         for target_id in self.targets.keys() - target_ids:
-            self.remove(target_id, now)
+            self.remove(target_id, now, changed_at)
 
-    def set_evacuated(self, zone: str, evacuated: bool, now: float) -> None:
-        """Sets whether the targets of a zone must not get new calls."""
+    def set_evacuated(
+        self, zone: str, evacuated: bool, changed_at: float
+    ) -> None:
+        """Sets whether the targets of a zone must not get new calls.
+
+        Args:
+            zone: Name of the zone.
+            evacuated: Whether it is evacuated.
+            changed_at: When its evacuation may have begun or ended.
+        """
         self.version += 1
         if evacuated:
-            self.evacuated_since.setdefault(zone, now)
+            self.evacuated_since.setdefault(zone, changed_at)
         else:
             self.evacuated_since.pop(zone, None)
 
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -16,11 +16,14 @@
 
     def __init__(self):
         self.calls = []
+        self.ages = []
 
-    def apply_snapshot(self, prefix, items):
+    def apply_snapshot(self, prefix, items, age_seconds):
+        self.ages.append(age_seconds)
         self.calls.append(("all", [item.key for item in items]))
 
-    def apply_changes(self, items):
+    def apply_changes(self, items, age_seconds):
+        self.ages.append(age_seconds)
         self.calls.append(("changes", [item.key for item in items]))
 
     def record_outage(self, failure):
@@ -203,3 +206,29 @@
         await watch
         await store_mirror._watch_once()
     assert ("changes", ["b"]) in listener.calls
+
+
+@pytest.mark.parametrize(
+    ("wait_seconds", "pause_seconds", "age_seconds"),
+    [
+        pytest.param(0.0, 0.0, 0.0, id="at once"),
+        pytest.param(0.0, 0.3, 0.3, id="at once, after a pause"),
+        pytest.param(0.3, 0.3, 0.05, id="after a wait"),
+    ],
+)
+async def test_changes_are_as_old_as_the_answer_before_unless_waited_for(
+    monkeypatch, wait_seconds, pause_seconds, age_seconds
+):
+    monkeypatch.setattr(mirror, "IMMEDIATE_ANSWER_SECONDS", 0.05)
+
+    async def answer():
+        await asyncio.sleep(wait_seconds)
+        return _changed(12, "b")
+
+    listener = RecordingListener()
+    store_mirror = _make_mirror(ScriptedStore(answer), listener)
+    await store_mirror._read_all()
+    await asyncio.sleep(pause_seconds)
+    await store_mirror._watch_once()
+    assert listener.ages[0] == float("inf")
+    assert listener.ages[1] == pytest.approx(age_seconds, abs=0.04)
