Ignore a part of the leader's update that arrives twice

Callers could be sent to targets that no longer own their keys (421) until the next update.

Cause, found by looking for answers taken once more: parts of an update of owners were counted, not compared, so that a datagram that the network duplicates completed an update whose other part was missing.

Evidence: the case with one part twice failed on the old code and passes.

--- a/src/jujubeyard/node/table_sync.py
+++ b/src/jujubeyard/node/table_sync.py
@@ -111,7 +111,8 @@
         parts = self._pending_parts.get(part.service, [])
         if parts and parts[0].revision != part.revision:
             parts = []
-        parts = [*parts, part]
+        if part not in parts:
+            parts = [*parts, part]
         if len(parts) < part.parts:
             self._pending_parts[part.service] = parts
             return None
--- a/tests/node/test_table_sync.py
+++ b/tests/node/test_table_sync.py
@@ -90,7 +90,14 @@
 
 @pytest.mark.parametrize(
     ("order", "revision"),
-    [([0, 1], 8), ([1, 0], 8), ([0], 5), ([1], 5)],
+    [
+        ([0, 1], 8),
+        ([1, 0], 8),
+        ([0], 5),
+        ([1], 5),
+        ([0, 0], 5),
+        ([1, 1, 0], 8),
+    ],
 )
 async def test_an_update_in_parts_is_applied_once_complete(
     harness, order, revision
