--- a/src/jujubeyard/store/etcd_client.py
+++ b/src/jujubeyard/store/etcd_client.py
@@ -13,6 +13,7 @@
 import aiohttp
 import result
 
+from jujubeyard import bodies
 from jujubeyard import errors
 
 CALL_TIMEOUT_SECONDS = 1.0
@@ -20,6 +21,7 @@
 MAX_WATCH_RETRY_SECONDS = 2.4
 WATCH_READ_TIMEOUT_SECONDS = 5.0
 MAX_VALUE_BYTES = 1_000_000
+MAX_ANSWER_BYTES = 4 * bodies.MIB
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +51,7 @@
         self._base = f"http://{address}/v3"
         self._timeout = aiohttp.ClientTimeout(total=timeout)
         self._session: aiohttp.ClientSession | None = None
+        self._reader = bodies.BodyReader(MAX_ANSWER_BYTES, MAX_ANSWER_BYTES)
 
     async def read(
         self, key: str
@@ -162,7 +165,7 @@
             ) as resp:
                 if resp.status != 200:
                     raise aiohttp.ClientError(f"HTTP {resp.status}")
-                reply = await resp.json()
+                reply = json.loads(await self._reader.read(resp.content))
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as exc:
             self.healthy = False
             reason = str(exc) or type(exc).__name__
