Deny no route while a newer configuration is known but not read

Callers saw 404 for routes that a confirmed configuration had added (CONFIG) from nodes that were still receiving it. 404 tells a caller not to come back; the node knew from the leader's beacon that it was behind.

--- a/src/jujubeyard/node/cluster_view.py
+++ b/src/jujubeyard/node/cluster_view.py
@@ -29,6 +29,8 @@
         tables: Shard tables by service.
         nodes: Names of the listed nodes.
         prefixes: Key prefixes of the store's items.
+        is_configuration_outdated: Returns whether another node has read a newer
+            configuration than this one.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self._decode_malformed = decode_malformed
         self._log = log
         self._leadership: leader.Leadership | None = None
+        self.is_configuration_outdated = lambda: False
         self._tables_changed = asyncio.Event()
         self._changed_at = float("-inf")
         self.routes: match.RouteTable | None = None
@@ -63,6 +66,12 @@
         """Sets the leadership to notify of changes of the leader item."""
         self._leadership = leadership
 
+    def set_configuration_check(
+        self, is_outdated: collections.abc.Callable[[], bool]
+    ) -> None:
+        """Sets how to find out whether a newer configuration is known."""
+        self.is_configuration_outdated = is_outdated
+
     def node_count(self) -> int:
         """Returns the number of listed nodes, but at least one."""
         return max(1, len(self.nodes))
--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -184,6 +184,8 @@
                 (prefixes.fleet, FLEET_BATCH_SECONDS),
             )
         ]
+        operator_mirror = self._mirrors[0]
+        self._view.set_configuration_check(operator_mirror.is_behind)
         inputs = placement_inputs.PlacementInputs(self._view)
         coordinator_client = ownership_client.OwnershipClient(
             self._store,
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -124,14 +124,7 @@
         path = call.path.partition("?")[0]
         route = self._view.routes.find(call.host, path)
         if route is None:
-            self._log.log_call(
-                "call matches no route",
-                call=call.call_id,
-                host=call.host,
-                path=path,
-                version=self._view.routes.configuration.version,
-            )
-            return calls.make_error_reply(codes.ResultCode.UNKNOWN_ROUTE)
+            return self._reply_without_route(call, path)
         configuration = self._view.routes.configuration
         if len(call.body) > configuration.max_body_bytes:
             return calls.make_error_reply(codes.ResultCode.BODY_TOO_LARGE)
@@ -146,6 +139,27 @@
         self._record_reply(state, reply)
         return reply
 
+    def _reply_without_route(self, call: calls.Call, path: str) -> calls.Reply:
+        """Returns the reply to a call that matches no route.
+
+        While a newer configuration is known but not read yet, it may have the
+        route.
+        """
+        is_outdated = self._view.is_configuration_outdated()
+        self._log.log_call(
+            "call matches no route",
+            call=call.call_id,
+            host=call.host,
+            path=path,
+            version=self._view.routes.configuration.version,
+            outdated=is_outdated,
+        )
+        if is_outdated:
+            return calls.make_error_reply(
+                codes.ResultCode.NOT_CONFIGURED, NOT_CONFIGURED_RETRY_SECONDS
+            )
+        return calls.make_error_reply(codes.ResultCode.UNKNOWN_ROUTE)
+
     async def _try_targets(self, state: attempts.CallState) -> calls.Reply:
         """Sends the call to one target after the other until one answers."""
         service = state.service.name
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -124,6 +124,7 @@
         self._is_next_watch_short = False
         self._behind = asyncio.Event()
         self._current_at = float("-inf")
+        self._known_revision = 0
         self.prefix = prefix
         self.is_low_latency = False
         self.revision: int | None = None
@@ -135,9 +136,16 @@
         Args:
             revision: Latest revision under the prefix on the other node.
         """
-        if self.revision is not None and self.revision < revision:
+        self._known_revision = max(self._known_revision, revision)
+        if self.is_behind():
             self._behind.set()
 
+    def is_behind(self) -> bool:
+        """Returns whether another node has seen newer items than this one."""
+        return self.revision is not None and (
+            self.revision < self._known_revision
+        )
+
     async def run(self) -> None:
         """Reads and watches the prefix until cancelled."""
         while True:
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -410,3 +410,13 @@
     assert reply.status == 200
     fresh = [call.on_fresh_connection for call in harness.client.sent]
     assert fresh == [False, True]
+
+
+@pytest.mark.parametrize(("is_outdated", "status"), [(False, 404), (True, 503)])
+async def test_route_is_not_denied_while_a_newer_configuration_is_known(
+    harness, is_outdated, status
+):
+    harness.view.set_configuration_check(lambda: is_outdated)
+    reply = await harness.serve("unknown")
+    assert reply.status == status
+    assert (reply.retry_after > 0.0) is is_outdated
