Count a mirror that has to read all items again as behind

Cause, found on reading the diff: while all items are read again after a compaction or a history that is too large, the revision is unknown and the mirror counted as up to date, so that routes were denied with 404 just then.

Change: it is behind until the read is done; a pause within an answer may last 1 s, since a lost packet is sent again after up to 0.8 s.

--- a/src/jujubeyard/platform/store.py
+++ b/src/jujubeyard/platform/store.py
@@ -16,7 +16,7 @@
 from jujubeyard.store import interface
 
 HTTP_OK = 200
-ANSWER_SILENCE_SECONDS = 0.6
+ANSWER_SILENCE_SECONDS = 1.0
 """Longest pause within an answer. Its whole transfer may take longer, as that
 of a large configuration does on a slow link."""
 
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -137,14 +137,15 @@
             revision: Latest revision under the prefix on the other node.
         """
         self._known_revision = max(self._known_revision, revision)
-        if self.is_behind():
+        if self.revision is not None and self.is_behind():
             self._behind.set()
 
     def is_behind(self) -> bool:
-        """Returns whether another node has seen newer items than this one."""
-        return self.revision is not None and (
-            self.revision < self._known_revision
-        )
+        """Returns whether items may be newer than those that were delivered.
+
+        That is known from another node, or all items have to be read again.
+        """
+        return self.revision is None or self.revision < self._known_revision
 
     async def run(self) -> None:
         """Reads and watches the prefix until cancelled."""
