--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -5,6 +5,7 @@
 import time
 
 from jujubeyard import codes
+from jujubeyard.node import answers
 from jujubeyard.node import attempts
 from jujubeyard.node import calls
 from jujubeyard.node import cluster_view
@@ -38,11 +39,6 @@
 )
 """Headers that apply to a single connection and aren't forwarded."""
 
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses that state that a call has not run. An answer with one of them is
-only valid if it also has the header that says so."""
-
-MIN_SERVER_ERROR_STATUS = 500
 MISDIRECTED_STATUS = 421
 NOT_CONFIGURED_RETRY_SECONDS = 0.5
 COLD_RETRY_SECONDS = 0.5
@@ -382,28 +378,22 @@
             load_report = self._read_load(load_header)
             if load_report is not None:
                 target.load.observe_report(load_report, now)
-        is_own_answer = (
-            answer.headers.get(header_names.call_id) == state.call.call_id
-        )
-        if is_own_answer and header_names.not_run in answer.headers:
+        kind = answers.classify_answer(answer, state.call.call_id, header_names)
+        if kind is answers.AnswerKind.REFUSED:
             self._process_not_run(state, target, answer)
             return None
-        if not self._is_valid_answer(state, answer):
-            self._log_failed_attempt(state, target, "invalid answer", "")
-            target.load.observe_failure()
-            state.may_have_run = True
-            return None
-        if answer.status < MIN_SERVER_ERROR_STATUS:
+        if kind is answers.AnswerKind.SERVED:
             self._record_success(state, target, now - started_at)
             target.load.observe_size(len(answer.body))
-        else:
-            target.load.observe_failure()
-            state.may_have_run = True
-            self._log_failed_attempt(
-                state, target, "failed", str(answer.status)
-            )
-            if state.route.idempotent and self._may_retry_error(state):
-                return None
+            return self._make_reply(answer)
+        state.may_have_run = True
+        target.load.observe_failure()
+        if kind is answers.AnswerKind.INVALID:
+            self._log_failed_attempt(state, target, kind.value, "")
+            return None
+        self._log_failed_attempt(state, target, kind.value, str(answer.status))
+        if state.route.idempotent and self._may_retry_error(state):
+            return None
         return self._make_reply(answer)
 
     def _record_success(self, state, target, seconds: float) -> None:
@@ -427,23 +417,6 @@
             and not state.service.keyed
         )
 
-    def _is_valid_answer(self, state, answer: upstream.Answer) -> bool:
-        """Returns whether an answer belongs to the call and is usable.
-
-        A successful answer must be signed by the target. A status that states
-        that the call has not run is invalid here, since the answer lacks the
-        header that says so.
-        """
-        header_names = self._header_names
-        if answer.headers.get(header_names.call_id) != state.call.call_id:
-            return False
-        if "Content-Encoding" in answer.headers:
-            return False
-        if answer.status in NOT_RUN_STATUSES:
-            return False
-        is_success = 200 <= answer.status < 300
-        return not is_success or header_names.signature in answer.headers
-
     def _process_not_run(self, state, target, answer) -> None:
         """Records that a target refused the call without running it.
 
@@ -470,7 +443,7 @@
 
     def _make_reply(self, answer: upstream.Answer) -> calls.Reply:
         code = codes.ResultCode.OK
-        if answer.status >= MIN_SERVER_ERROR_STATUS:
+        if answer.status >= answers.MIN_SERVER_ERROR_STATUS:
             code = codes.ResultCode.TARGET_ERROR
         return calls.Reply(code, answer.status, answer.headers, answer.body)
 
