--- /dev/null
+++ b/tests/store/test_slow_link.py
@@ -0,0 +1,129 @@
+"""Tests of a mirror behind a link whose bandwidth is small."""
+
+import asyncio
+import random
+
+from aiohttp import web
+import pytest
+
+from jujubeyard.node import upstream
+from jujubeyard.platform import headers
+from jujubeyard.platform import store
+from jujubeyard.store import health
+from jujubeyard.store import mirror
+from platform_standins import store as standin_store
+from tests.utils import fakes
+from tests.utils import processes
+
+CONFIGURATION_BYTES = 250_000
+BEACON_SECONDS = 0.4
+IN_FORCE_SECONDS = 2.5
+BLOCK_BYTES = 16_384
+SETTLE_SECONDS = 0.3
+
+
+class Link:
+    """Passes on the connections of a node to the store, slowly."""
+
+    def __init__(self, host: str, port: str):
+        self.bytes_per_second = 1_000_000
+        self._host = host
+        self._port = port
+        self._lock = asyncio.Lock()
+
+    async def serve(self, reader, writer) -> None:
+        """Passes on one connection."""
+        store_reader, store_writer = await asyncio.open_connection(
+            self._host, self._port
+        )
+        try:
+            await asyncio.gather(
+                self._copy(reader, store_writer, None),
+                self._copy(store_reader, writer, self.bytes_per_second),
+            )
+        except ConnectionError:
+            return
+        finally:
+            store_writer.close()
+            writer.close()
+
+    async def _copy(self, reader, writer, bytes_per_second) -> None:
+        while block := await reader.read(BLOCK_BYTES):
+            if bytes_per_second is not None:
+                async with self._lock:
+                    await asyncio.sleep(len(block) / bytes_per_second)
+            writer.write(block)
+            await writer.drain()
+        writer.close()
+
+
+class VersionListener:
+    """Keeps the values that a mirror delivers."""
+
+    def __init__(self):
+        self.values = []
+
+    def apply_snapshot(self, prefix, items, age_seconds):
+        self.values += [item.value[:2] for item in items]
+
+    def apply_changes(self, items, age_seconds):
+        self.values += [item.value[:2] for item in items]
+
+
+@pytest.fixture
+async def standin():
+    created = standin_store.Store(random.Random(1))
+    runner = web.AppRunner(created.make_app("n1"), access_log=None)
+    await runner.setup()
+    host, port = processes.make_address().split(":")
+    await web.TCPSite(runner, host, int(port)).start()
+    link = Link(host, port)
+    server = await asyncio.start_server(link.serve, "127.0.0.1", 0)
+    address, port = server.sockets[0].getsockname()
+    yield created, link, f"{address}:{port}"
+    server.close()
+    await runner.cleanup()
+
+
+async def _send_beacons(store_mirror, kv_store) -> None:
+    while True:
+        store_mirror.wake_if_behind(kv_store._revision)
+        await asyncio.sleep(BEACON_SECONDS)
+
+
+@pytest.mark.parametrize(
+    ("versions", "bytes_per_second"),
+    [(1, 250_000), (2, 600_000), (12, 600_000)],
+)
+async def test_large_configurations_are_in_force_in_time_on_a_slow_link(
+    standin, versions, bytes_per_second
+):
+    kv_store, link, address = standin
+    link.bytes_per_second = bytes_per_second
+    kv_store.put("op/config", b"00")
+    session = upstream.make_session(headers.NAMES, force_close=False)
+    listener = VersionListener()
+    store_mirror = mirror.Mirror(
+        store.PlatformStore(address, session, 0.5, 0.6),
+        "op/",
+        listener,
+        health.Health(lambda _: None, lambda: None),
+        0.4,
+        fakes.RecordingJournal(),
+    )
+    tasks = [asyncio.create_task(store_mirror.run())]
+    await asyncio.sleep(SETTLE_SECONDS)
+    tasks.append(asyncio.create_task(_send_beacons(store_mirror, kv_store)))
+    for version in range(1, versions + 1):
+        await asyncio.sleep(0.08)
+        value = f"{version:02}".encode() + random.randbytes(CONFIGURATION_BYTES)
+        kv_store.put("op/config", value)
+    try:
+        async with asyncio.timeout(IN_FORCE_SECONDS):
+            while listener.values[-1] != f"{versions:02}".encode():
+                await asyncio.sleep(0.02)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await session.close()
