Let a watch that was just started be answered before it is abandoned

Callers could still see configurations and leaving targets seconds late (CONFIG, DRAIN) at nodes with busy links.

The leader's beacon comes each 0.4 s; on a link where a round trip takes longer, each watch was abandoned before its first byte, and the next needed a new connection besides. A failed renewal, for the same reason, did the same.

Change: a watch is abandoned for a newer revision or a failed call only once it is 0.6 s old; an answer that came until then is used. A watch that was begun in an outage is still given up at once when the store is back.

--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -21,6 +21,10 @@
 LOW_LATENCY_BATCH_SECONDS = 0.1
 """Pause after changes on the leader, which acts on them."""
 
+REPLY_SECONDS = 0.6
+"""Time that the reply to a watch may need on a busy link, if there are changes
+already. A younger watch isn't abandoned because changes are known elsewhere."""
+
 RETRY_SECONDS = 1.0
 """Longest wait for the store to recover before the next attempt."""
 
@@ -210,8 +214,8 @@
 
         A watch is abandoned if the availability of the store changes or
         another node reports a newer revision, because it may never get a
-        reply. Once its reply has begun to arrive, it is awaited: another
-        watch would transfer the same changes from the beginning.
+        reply. One whose reply may be on its way, or has begun to arrive, is
+        awaited: another watch would ask for the same changes again.
         """
         seconds = WATCH_SECONDS
         if self._is_next_watch_short or not self._health.is_available:
@@ -222,15 +226,12 @@
         watch = asyncio.ensure_future(
             self._store.watch(self.prefix, self.revision, seconds, transfer)
         )
-        wait_health_change = self._health.wait_unavailable
-        if not self._health.is_available:
-            wait_health_change = self._health.wait_available
-        elif self._is_next_watch_short:
+        if self._health.is_available and self._is_next_watch_short:
             # A short watch soon ends by itself.
             return await watch
         interrupts = [
-            asyncio.ensure_future(wait_health_change()),
-            asyncio.ensure_future(self._behind.wait()),
+            asyncio.ensure_future(self._wait_health_change()),
+            asyncio.gather(self._behind.wait(), asyncio.sleep(REPLY_SECONDS)),
         ]
         tasks = [watch, *interrupts]
         try:
@@ -244,6 +245,19 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _wait_health_change(self) -> None:
+        """Waits until a watch has to be abandoned for the store's availability.
+
+        A watch that was started while the store was unavailable never gets a
+        reply, and is abandoned as soon as the store is available.
+        """
+        if self._health.is_available:
+            await asyncio.gather(
+                self._health.wait_unavailable(), asyncio.sleep(REPLY_SECONDS)
+            )
+        else:
+            await self._health.wait_available()
+
     def _measure_age(
         self, started_at: float, transfer: interface.Transfer
     ) -> float:
