Move the client connections into a module of their own

node/upstream.py held the client of calls as well as the connections that the store's client, grants, releases and the soak use too.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from jujubeyard.node import upstream
+from jujubeyard import connections
 from jujubeyard.platform import headers
 from platform_standins import documents
 from soak import fleet
@@ -121,8 +121,8 @@
 
     async def _run_caller(self) -> None:
         connects_per_call = self._rng.random() < NEW_CONNECTION_SHARE
-        session = upstream.make_session(
-            HEADER_NAMES, force_close=connects_per_call
+        session = connections.make_session(
+            HEADER_NAMES.call_id, force_close=connects_per_call
         )
         node = self._balancer.choose()
         try:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from jujubeyard.node import upstream
+from jujubeyard import connections
 
 
 class Proxy:
@@ -143,7 +143,7 @@
         if self._transport is not None and not self._is_closed:
             sock = self._transport.get_extra_info("socket")
             sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, upstream.RESET_ON_CLOSE
+                socket.SOL_SOCKET, socket.SO_LINGER, connections.RESET_ON_CLOSE
             )
             self._transport.abort()
 
--- /dev/null
+++ b/src/jujubeyard/connections.py
@@ -0,0 +1,193 @@
+"""HTTP client sessions that keep the answers of a connection in step.
+
+An answer is only taken for the request that it follows. Answers to other calls
+are discarded, and a connection that brings more than was asked for is closed.
+"""
+
+import socket
+import struct
+
+import aiohttp
+from aiohttp import client_proto
+
+MIN_FINAL_STATUS = 200
+MIN_FAILURE_STATUS = 300
+MAX_MESSAGES_PER_CALL = 16
+"""Answers to other calls and interim answers after which the answer of a call
+is not waited for any longer."""
+
+KEEPALIVE_TIMEOUT_SECONDS = 4.0
+TCP_USER_TIMEOUT_MS = 2000
+"""How long sent data may stay unacknowledged by the peer's kernel before the
+connection is closed."""
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""SO_LINGER value that makes a close reset the connection, so that data delayed
+on a link doesn't arrive later."""
+
+
+class ResponseProtocol(client_proto.ResponseHandler):
+    """Discards answers to other calls, and records resets of its connection.
+
+    A connection on which anything follows a complete answer is closed.
+
+    Attributes:
+        call_id_header: Header with the ID of a call, in requests and answers.
+        was_reset: Whether the connection was reset instead of closed.
+    """
+
+    def __init__(self, loop, call_id_header: str):
+        super().__init__(loop)
+        self.call_id_header = call_id_header
+        self._expected_call_id: str | None = None
+        self._is_out_of_sync = False
+        self._is_answered = False
+        self._message_count = 0
+        self.was_reset = False
+
+    def begin_call(self) -> None:
+        """Prepares for the answer to the next call."""
+        self._is_answered = False
+        self._message_count = 0
+
+    def set_expected_call(self, call_id: str | None) -> None:
+        """Sets the ID of the call whose answer is read next."""
+        self._expected_call_id = call_id
+
+    @property
+    def should_close(self) -> bool:
+        """Whether the connection must not be reused."""
+        return self._is_out_of_sync or super().should_close
+
+    async def read(self):
+        """Returns the next answer, without those that belong to other calls.
+
+        Once such an answer was discarded, the connection is not reused, nor
+        after a refusal of a request that has no ID: written once more, it could
+        not be told from the answer to the next request.
+
+        Raises:
+            aiohttp.ClientPayloadError: Too many answers came that are not the
+                one to this call.
+        """
+        while True:
+            message, payload = await super().read()
+            self._message_count += 1
+            if self._message_count > MAX_MESSAGES_PER_CALL:
+                self._is_out_of_sync = True
+                raise aiohttp.ClientPayloadError("too many answers")
+            call_id = message.headers.get(self.call_id_header)
+            if call_id is None or self._expected_call_id in (None, call_id):
+                if self._expected_call_id is None:
+                    self._is_out_of_sync |= message.code >= MIN_FAILURE_STATUS
+                if message.code >= MIN_FINAL_STATUS:
+                    payload.on_eof(self._finish_answer)
+                return message, payload
+            self._is_out_of_sync = True
+
+    def data_received(self, data: bytes) -> None:
+        """Passes data to the parser, unless the answer is complete already."""
+        if self._is_answered and data:
+            self._is_out_of_sync = True
+            self.abort()
+            return
+        super().data_received(data)
+        if len(self) > MAX_MESSAGES_PER_CALL:
+            self.set_exception(aiohttp.ClientPayloadError("too many answers"))
+            self.abort()
+
+    def _finish_answer(self) -> None:
+        self._is_answered = True
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Records whether the connection was reset instead of closed."""
+        self.was_reset = exc is not None
+        super().connection_lost(exc)
+
+
+class Response(aiohttp.ClientResponse):
+    """Keeps its protocol, to distinguish a reset from a close."""
+
+    async def start(self, connection):
+        """Starts to read the answer."""
+        self.response_protocol = connection.protocol
+        call_id_header = self.response_protocol.call_id_header
+        self.response_protocol.set_expected_call(
+            self.request_info.headers.get(call_id_header)
+        )
+        return await super().start(connection)
+
+
+class Connector(aiohttp.TCPConnector):
+    """Provides only connections on which no data of earlier calls is left."""
+
+    def __init__(self, call_id_header: str, **options):
+        """Initializes the connector.
+
+        Args:
+            call_id_header: Header with the ID of a call.
+            **options: Options of the base class.
+        """
+        super().__init__(**options)
+        loop = self._loop
+        self._factory = lambda: ResponseProtocol(loop, call_id_header)
+
+    async def connect(self, req, traces, timeout):
+        """Returns a connection that is safe to use for a request."""
+        while True:
+            conn = await super().connect(req, traces, timeout)
+            if not conn.protocol.should_close:
+                conn.protocol.begin_call()
+                return conn
+            conn.close()
+
+
+def _make_socket(address_info) -> socket.socket:
+    family, kind, proto, _, _ = address_info
+    sock = socket.socket(family, kind, proto)
+    set_dead_peer_detection(sock)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    return sock
+
+
+def set_dead_peer_detection(sock: socket.socket) -> None:
+    """Makes the kernel close a connection whose peer is silent for seconds."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+    )
+
+
+def make_session(
+    call_id_header: str, force_close: bool
+) -> aiohttp.ClientSession:
+    """Returns a client session that never retries a request by itself.
+
+    Args:
+        call_id_header: Header with the ID of a call.
+        force_close: Whether each request uses a new connection.
+    """
+    options = {
+        "limit": 0,
+        "force_close": force_close,
+        "socket_factory": _make_socket,
+    }
+    if not force_close:
+        options["keepalive_timeout"] = KEEPALIVE_TIMEOUT_SECONDS
+    session = aiohttp.ClientSession(
+        connector=Connector(call_id_header, **options),
+        response_class=Response,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=(
+            "User-Agent",
+            "Accept",
+            "Accept-Encoding",
+            "Content-Type",
+        ),
+    )
+    session._retry_connection = False
+    return session
--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -9,6 +9,7 @@
 import sys
 import time
 
+from jujubeyard import connections
 from jujubeyard import context
 from jujubeyard import errors
 from jujubeyard import status
@@ -145,14 +146,14 @@
             decoder.change_for_malformed_item,
             log,
         )
-        self._store_session = upstream.make_session(
-            header_names, force_close=False
+        self._store_session = connections.make_session(
+            header_names.call_id, force_close=False
         )
-        self._request_session = upstream.make_session(
-            header_names, force_close=False
+        self._request_session = connections.make_session(
+            header_names.call_id, force_close=False
         )
-        self._release_session = upstream.make_session(
-            header_names, force_close=True
+        self._release_session = connections.make_session(
+            header_names.call_id, force_close=True
         )
         self._store = store.PlatformStore(
             str(cfg.store),
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,7 +7,7 @@
 import pytest
 
 from jujubeyard import bodies
-from jujubeyard.node import upstream
+from jujubeyard import connections
 from jujubeyard.platform import headers
 from jujubeyard.platform import store
 from jujubeyard.store import interface
@@ -50,7 +50,9 @@
     sessions = []
 
     def make(address: str) -> store.PlatformStore:
-        session = upstream.make_session(headers.NAMES, force_close=False)
+        session = connections.make_session(
+            headers.NAMES.call_id, force_close=False
+        )
         sessions.append(session)
         return store.PlatformStore(
             address, session, CALL_SECONDS, SLACK_SECONDS
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -5,7 +5,7 @@
 import pytest
 
 from jujubeyard import bodies
-from jujubeyard.node import upstream
+from jujubeyard import connections
 from jujubeyard.ownership import ownership_client
 from jujubeyard.ownership import table
 from jujubeyard.ownership import target_requests
@@ -29,8 +29,8 @@
 
 @pytest.fixture
 async def client():
-    kept = upstream.make_session(headers.NAMES, force_close=False)
-    fresh = upstream.make_session(headers.NAMES, force_close=True)
+    kept = connections.make_session(headers.NAMES.call_id, force_close=False)
+    fresh = connections.make_session(headers.NAMES.call_id, force_close=True)
     yield ownership_client.OwnershipClient(
         None,
         kept,
--- a/tests/store/test_slow_link.py
+++ b/tests/store/test_slow_link.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 import pytest
 
-from jujubeyard.node import upstream
+from jujubeyard import connections
 from jujubeyard.platform import headers
 from jujubeyard.platform import store
 from jujubeyard.store import health
@@ -101,7 +101,7 @@
     kv_store, link, address = standin
     link.bytes_per_second = bytes_per_second
     kv_store.put("op/config", b"00")
-    session = upstream.make_session(headers.NAMES, force_close=False)
+    session = connections.make_session(headers.NAMES.call_id, force_close=False)
     listener = VersionListener()
     store_mirror = mirror.Mirror(
         store.PlatformStore(address, session, 0.5, 0.6),
