Take on a gate's connections only the answer to the call that was sent

Callers could be answered with the answer to another call, or told 'outcome unknown' for calls that were answered; a gate's memory had no common limit.

Cause: the node's client discards answers to other calls, ends a call after 16 of them and closes a connection on which bytes follow an answer; the gate's client of the first design did none of that. An answer to another call was reported, but its connection was used again, where the answer that was due was taken for that of the next call if it named no call; late answers to calls could confirm grants; an idle connection kept what arrived on it; interim and other answers came for as long as the target sent them; 16 MiB a target made 320 MiB for 20 of them.

Evidence: 9 of 16 cases failed on the old code: an id-less refusal whose connection was used again, an answer to another call (followed by the call's own or not), endless interim answers, endless answers to other calls, endless bytes on an idle connection, 20 targets at once. All pass; the case of grants was written with the change.

Change: gates use jujubeyard.connections, a refusal without id or an answer to a call that confirms grants ends its connection, and all clients of a gate share one reader of 48 MiB. The two rows of the old table with another call's id are replaced by a test of their own: such an answer is no longer reported as a mismatch but never returned, and the call's own answer still is. tests/gate, tests/node/test_upstream.py: pass.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -54,6 +54,10 @@
         """Sets the ID of the call whose answer is read next."""
         self._expected_call_id = call_id
 
+    def forbid_reuse(self) -> None:
+        """Makes the connection close instead of being used once more."""
+        self._is_out_of_sync = True
+
     @property
     def should_close(self) -> bool:
         """Whether the connection must not be reused."""
@@ -117,6 +121,10 @@
         )
         return await super().start(connection)
 
+    def forbid_reuse(self) -> None:
+        """Makes the connection close even if the answer was read whole."""
+        self.response_protocol.forbid_reuse()
+
 
 class Connector(aiohttp.TCPConnector):
     """Provides only connections on which no data of earlier calls is left."""
--- a/src/jujubeyard/gate/install.py
+++ b/src/jujubeyard/gate/install.py
@@ -123,7 +123,11 @@
         holding.version,
         list(holding.previous),
         upstream.Upstream(
-            target.address, service.connections, may_send, clock.boottime
+            target.address,
+            service.connections,
+            may_send,
+            clock.boottime,
+            gate.answer_reader,
         ),
         ramp.ConcurrencyRamp(
             service.cold_slots, service.slots, service.warm_calls
--- a/src/jujubeyard/gate/state.py
+++ b/src/jujubeyard/gate/state.py
@@ -3,11 +3,13 @@
 import collections.abc
 import dataclasses
 
+from jujubeyard import bodies
 from jujubeyard import settings
 from jujubeyard.admission import budget
 from jujubeyard.admission import dedupe
 from jujubeyard.gate import metrics
 from jujubeyard.gate import tables
+from jujubeyard.gate import upstream
 from jujubeyard.internal import process_runtime
 from jujubeyard.internal import ticker
 from jujubeyard.lease import holder
@@ -37,6 +39,7 @@
         lease: The lease that allows the gate to send calls.
         ids: Remembered request IDs of calls that are not idempotent.
         hedge_budget: Limits how many calls are hedged.
+        answer_reader: Reads the answers of all targets.
         targets: Targets by name.
         shards: Shards by service and shard number.
         queues: Queues by name of the target (keyed service) or of the service
@@ -72,6 +75,11 @@
     hedge_budget: budget.Budget = dataclasses.field(
         default_factory=lambda: budget.Budget(HEDGE_RATIO, HEDGE_BURST)
     )
+    answer_reader: bodies.BodyReader = dataclasses.field(
+        default_factory=lambda: bodies.BodyReader(
+            upstream.MAX_ANSWER_BYTES, upstream.MAX_BUFFERED_BYTES
+        )
+    )
     targets: dict[str, tables.TargetRow] = dataclasses.field(
         default_factory=dict
     )
--- a/src/jujubeyard/gate/upstream.py
+++ b/src/jujubeyard/gate/upstream.py
@@ -8,6 +8,7 @@
 import yarl
 
 from jujubeyard import bodies
+from jujubeyard import connections
 from jujubeyard.gate import headers
 from jujubeyard.link import messages
 
@@ -18,8 +19,8 @@
 CONNECT_TIMEOUT_SECONDS = 0.3
 KEEPALIVE_SECONDS = 15.0
 MAX_ANSWER_BYTES = 8 * bodies.MIB
-MAX_BUFFERED_BYTES = 16 * bodies.MIB
-"""Largest size of all answers of a target that are being read."""
+MAX_BUFFERED_BYTES = 48 * bodies.MIB
+"""Largest size of all answers that a gate is reading."""
 
 
 class LeaseLapsedError(Exception):
@@ -36,8 +37,8 @@
         body: The whole body.
         refusal: Why the target refused to run the call, or an empty string.
         incarnation: Incarnation of the target that responded.
-        matches_call: Whether the response is to this call; false if it names
-            another call, or is a refusal that names none.
+        matches_call: Whether the response is certainly to this call; false if
+            it is a refusal that names none.
     """
 
     status: int
@@ -82,7 +83,7 @@
     holder: int
 
 
-class _LeaseCheckingConnector(aiohttp.TCPConnector):
+class _LeaseCheckingConnector(connections.Connector):
     """Checks the lease again once a connection is available.
 
     Connecting may take so long that the lease expires meanwhile.
@@ -91,7 +92,9 @@
     def __init__(
         self, may_send: collections.abc.Callable[[], bool], limit: int
     ):
-        super().__init__(limit=limit, keepalive_timeout=KEEPALIVE_SECONDS)
+        super().__init__(
+            headers.CALL, limit=limit, keepalive_timeout=KEEPALIVE_SECONDS
+        )
         self._may_send = may_send
 
     async def connect(self, req, traces, timeout):
@@ -117,16 +120,27 @@
     def __init__(
         self,
         address: str,
-        connections: int,
+        max_connections: int,
         may_send: collections.abc.Callable[[], bool],
         read_clock: collections.abc.Callable[[], float],
+        reader: bodies.BodyReader,
     ):
+        """Initializes the client; it connects when it is used.
+
+        Args:
+            address: Address of the target, as host:port.
+            max_connections: Largest number of connections.
+            may_send: Returns whether the gate still holds the target.
+            read_clock: Returns the time on the gate's clock, in seconds.
+            reader: Reads the answers, whose sizes it limits; shared by the
+                clients of a gate.
+        """
         self.address = address
-        self._connections = connections
+        self._max_connections = max_connections
         self._may_send = may_send
         self._read_clock = read_clock
         self._session: aiohttp.ClientSession | None = None
-        self._reader = bodies.BodyReader(MAX_ANSWER_BYTES, MAX_BUFFERED_BYTES)
+        self._reader = reader
         self._clock_offset: float | None = None
         self._incarnation = ""
 
@@ -161,15 +175,16 @@
             self._record_clock(response)
             refusal = response.headers.get(headers.REFUSED, "")
             # An answer may lack the call's ID; a refusal may not.
-            default_id = None if refusal else metadata.call_id
+            matches_call = not refusal or headers.CALL in response.headers
+            if not matches_call:
+                response.forbid_reuse()
             return TargetResponse(
                 response.status,
                 response.headers.get("Content-Type", ""),
                 body,
                 refusal,
                 response.headers.get(headers.INCARNATION, ""),
-                response.headers.get(headers.CALL, default_id)
-                == metadata.call_id,
+                matches_call,
             )
 
     async def renew_grants(
@@ -235,6 +250,9 @@
             json=document,
             timeout=timeout,
         ) as response:
+            if headers.CALL in response.headers:
+                response.forbid_reuse()
+                raise aiohttp.ClientPayloadError("answer to a call")
             body = _parse_probe(
                 await self._reader.read(response.content), document is not None
             )
@@ -288,10 +306,11 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             connector = _LeaseCheckingConnector(
-                self._may_send, self._connections
+                self._may_send, self._max_connections
             )
             self._session = aiohttp.ClientSession(
                 connector=connector,
+                response_class=connections.Response,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 skip_auto_headers=("User-Agent", "Accept-Encoding"),
--- a/tests/gate/test_upstream.py
+++ b/tests/gate/test_upstream.py
@@ -30,21 +30,35 @@
 HEAD = b"HTTP/1.1 200 OK\r\nJujubeyard-Call: c1\r\n"
 
 
-def _make_answer(*headers: str) -> bytes:
-    lines = ["HTTP/1.1 200 OK", *headers, "Content-Length: 2", "", "ok"]
+MAX_SENT_BYTES = 32 * bodies.MIB
+BLOCK = b"x" * 65536
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n" * 1000
+
+
+def _make_answer(*headers: str, body: str = "ok") -> bytes:
+    lines = ["HTTP/1.1 200 OK", *headers, "Content-Length: 2", "", body]
     return "\r\n".join(lines).encode()
 
 
+OWN_ANSWER = _make_answer("Jujubeyard-Call: c1")
+OTHER_ANSWER = _make_answer("Jujubeyard-Call: c0", body="no")
+
+
 @pytest.fixture
-async def send():
+async def make_client():
     clients = []
+    reader = bodies.BodyReader(
+        upstream.MAX_ANSWER_BYTES, upstream.MAX_BUFFERED_BYTES
+    )
 
-    async def send_call(address: str) -> upstream.TargetResponse:
-        client = upstream.Upstream(address, 4, lambda: True, time.monotonic)
+    def make(address: str) -> upstream.Upstream:
+        client = upstream.Upstream(
+            address, 4, lambda: True, time.monotonic, reader
+        )
         clients.append(client)
-        return await client.send(CALL, METADATA, 2.0)
+        return client
 
-    yield send_call
+    yield make
     for client in clients:
         await client.close()
 
@@ -53,26 +67,108 @@
     ("headers", "matches_call"),
     [
         (["Jujubeyard-Call: c1"], True),
-        (["Jujubeyard-Call: c0"], False),
         ([], True),
         (["Jujubeyard-Refused: slots", "Jujubeyard-Call: c1"], True),
-        (["Jujubeyard-Refused: slots", "Jujubeyard-Call: c0"], False),
         (["Jujubeyard-Refused: slots"], False),
     ],
 )
 async def test_refusal_that_names_no_call_is_not_believed(
-    send, headers, matches_call
+    make_client, headers, matches_call
 ):
-    async with raw_server.RawServer([_make_answer(*headers)]) as server:
-        response = await send(server.address)
+    script = [_make_answer(*headers)], [OWN_ANSWER]
+    async with raw_server.RawServer(*script) as server:
+        client = make_client(server.address)
+        response = await client.send(CALL, METADATA, 2.0)
+        await client.send(CALL, METADATA, 2.0)
     assert response.matches_call is matches_call
+    assert server.connections == (1 if matches_call else 2)
 
 
-async def test_endless_body_of_a_target_does_not_exhaust_memory(send):
-    script = [HEAD + b"\r\n", raw_server.Repeat(b"x" * 65536)]
+@pytest.mark.parametrize(
+    "headers",
+    [
+        ["Jujubeyard-Call: c0"],
+        ["Jujubeyard-Refused: slots", "Jujubeyard-Call: c0"],
+    ],
+)
+@pytest.mark.parametrize("is_followed", [True, False])
+async def test_answer_to_another_call_is_not_taken(
+    make_client, headers, is_followed
+):
+    first = [_make_answer(*headers, body="no"), 0.01]
+    if is_followed:
+        first.append(OWN_ANSWER)
+    async with raw_server.RawServer(first, [OWN_ANSWER]) as server:
+        client = make_client(server.address)
+        if is_followed:
+            response = await client.send(CALL, METADATA, 0.5)
+            assert (response.body, response.refusal) == (b"ok", "")
+        else:
+            with pytest.raises(TimeoutError):
+                await client.send(CALL, METADATA, 0.5)
+        response = await client.send(CALL, METADATA, 0.5)
+    assert (response.body, response.refusal) == (b"ok", "")
+    assert server.connections == 2
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        pytest.param(HEAD + b"\r\n", BLOCK, id="body without length"),
+        pytest.param(HEAD, b"X-More: y\r\n" * 1000, id="headers"),
+        pytest.param(b"", INTERIM, id="interim answers"),
+        pytest.param(b"", OTHER_ANSWER * 1000, id="answers to other calls"),
+    ],
+)
+async def test_endless_bytes_of_a_target_do_not_exhaust_memory(
+    make_client, start, repeated
+):
+    script = [start, raw_server.Repeat(repeated)]
     async with raw_server.RawServer(script) as server:
-        with pytest.raises(aiohttp.ClientPayloadError):
-            await send(server.address)
+        with pytest.raises(aiohttp.ClientError):
+            await make_client(server.address).send(CALL, METADATA, 2.5)
+        async with asyncio.timeout(1.0):
+            await server.repeat_ended.wait()
+    assert server.repeated_bytes < MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize("repeated", [BLOCK, OTHER_ANSWER * 1000])
+async def test_endless_bytes_on_an_idle_connection_close_it(
+    make_client, repeated
+):
+    script = [OWN_ANSWER, 0.05, raw_server.Repeat(repeated)]
+    async with raw_server.RawServer(script) as server:
+        await make_client(server.address).send(CALL, METADATA, 2.0)
         async with asyncio.timeout(1.0):
             await server.repeat_ended.wait()
-    assert server.repeated_bytes < 32 * bodies.MIB
+    assert server.repeated_bytes < MAX_SENT_BYTES
+
+
+async def test_late_answer_to_a_call_confirms_no_grants(make_client):
+    script = (
+        [_make_answer("Jujubeyard-Call: c0", body="{}")],
+        [_make_answer(body="{}")],
+    )
+    async with raw_server.RawServer(*script) as server:
+        client = make_client(server.address)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await client.renew_grants(1, {})
+        response = await client.renew_grants(1, {})
+    assert response.accepted
+    assert server.connections == 2
+
+
+async def test_endless_bodies_of_many_targets_share_a_memory_limit(
+    make_client,
+):
+    script = [[HEAD + b"\r\n", raw_server.Repeat(BLOCK)] for _ in range(20)]
+    async with raw_server.RawServer(*script) as server:
+        outcomes = await asyncio.gather(
+            *(
+                make_client(server.address).send(CALL, METADATA, 2.5)
+                for _ in script
+            ),
+            return_exceptions=True,
+        )
+    assert all(isinstance(exc, aiohttp.ClientError) for exc in outcomes)
+    assert server.repeated_bytes < 5 * MAX_SENT_BYTES
