Bound all pages of a read of the store together

Found by looking for answers without end on every socket: a page may have 4 MiB and a read 100 pages, so that a store that goes on with pages could fill 400 MiB, where VMs have 200 to 552 MB.

Change: 32 MiB for all pages of a read; over that it ends as TOO_LARGE.

Evidence: large pages without end took 100 requests before, at most 16 now (new case, failed on the old code). tests/platform, store, node: pass.

--- a/src/jujubeyard/platform/store.py
+++ b/src/jujubeyard/platform/store.py
@@ -29,6 +29,9 @@
 MAX_WATCH_BYTES = bodies.MIB
 """Largest size of the answer to a watch."""
 
+MAX_READ_BYTES = 32 * bodies.MIB
+"""Largest size of all pages of a read."""
+
 MAX_PAGES = 100
 """Largest number of pages that a read of all items may have."""
 
@@ -74,12 +77,19 @@
         page, so that a watch from it also returns changes made between pages.
         """
         items, after, revision = [], "", 0
+        transfer = transfer or interface.Transfer()
         for _ in range(MAX_PAGES):
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
             page = await self._call(
-                "GET", "/kv-range", query=query, transfer=transfer
+                "GET",
+                "/kv-range",
+                query=query,
+                transfer=transfer,
+                max_bytes=min(
+                    MAX_ANSWER_BYTES, MAX_READ_BYTES - transfer.received_bytes
+                ),
             )
             if page.is_err():
                 return page
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -116,6 +116,15 @@
     assert server.repeated_bytes < 32 * bodies.MIB
 
 
+async def test_large_pages_of_the_store_do_not_exhaust_memory(make_store):
+    page = _make_answer(bodies.MIB).replace(b"false", b"true ")
+    script = [[page]] * store.MAX_PAGES
+    async with raw_server.RawServer(*script) as server:
+        outcome = await make_store(server.address).read_all("op/")
+    assert outcome.err_value.kind is interface.FailureKind.TOO_LARGE
+    assert len(server.requests) <= 16
+
+
 async def test_pages_of_the_store_do_not_go_on_without_end(make_store):
     page = _make_answer(10).replace(b"false", b"true ")
     script = [[page]] * (store.MAX_PAGES + 5)
