Grow the configuration behind slow links in the soak

Change: the proxy limits the bandwidth to clients, shared by all connections of a node; the fault grow_configuration adds 1,000 routes while some nodes have 500 KB/s, which is enough to receive a version in time, so that nothing is excused. Bytes stay in order when a delay ends.

--- a/soak/core.py
+++ b/soak/core.py
@@ -168,10 +168,7 @@
         await ctx.wait(*FAULT_PAUSE_SECONDS)
         active = [f for task, f in started.items() if not task.done()]
         fault = ctx.rng.choice(candidates)
-        is_excluded = (
-            fault in faults.EXCLUSIVE_STORE_FAULTS
-            and faults.EXCLUSIVE_STORE_FAULTS & set(active)
-        )
+        is_excluded = faults.NOT_BESIDE.get(fault, frozenset()) & set(active)
         if is_excluded or len(active) >= MAX_ACTIVE_FAULTS:
             continue
         started[asyncio.create_task(fault(ctx))] = fault
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,11 @@
 MAX_VERSION_STEP = 3
 """Largest increment between two configuration versions."""
 
+GROWN_ROUTES = 1_000
+"""Number of routes that a grown configuration has more."""
+
+SLOW_LINK_BYTES_PER_SECOND = 500_000
+
 
 class FaultContext:
     """The fleet and the random generator that faults work with.
@@ -29,11 +34,14 @@
     Attributes:
         fleet: The fleet under test.
         rng: Random generator that decides what is affected, and for how long.
+        extra_routes: Number of routes without calls in the configurations that
+            are written.
     """
 
     def __init__(self, running_fleet: fleet.Fleet, rng: random.Random):
         self.fleet = running_fleet
         self.rng = rng
+        self.extra_routes = 0
 
     @property
     def observed(self) -> observations.Observations:
@@ -102,6 +110,10 @@
             -observations.KEPT_VERSION_ROUTES :
         ]
         routes = [*callers.ROUTES, *map(callers.version_route, kept_versions)]
+        routes += [
+            documents.Route(f"extra-{number}", "pool", True)
+            for number in range(self.extra_routes)
+        ]
         body = documents.make_configuration(
             version, fleet.SERVICES.values(), routes
         )
@@ -380,6 +392,24 @@
         await ctx.wait(0.05, 1.0)
 
 
+async def grow_configuration(ctx: FaultContext) -> None:
+    """Adds many routes while some nodes have slow links to the store.
+
+    The links are fast enough to receive a version in time.
+    """
+    nodes = list(ctx.fleet.nodes.values())
+    slow_nodes = ctx.rng.sample(nodes, ctx.rng.randint(1, len(nodes)))
+    for node in slow_nodes:
+        node.store_proxy.bytes_per_second = SLOW_LINK_BYTES_PER_SECOND
+    for ctx.extra_routes in (GROWN_ROUTES, 0):
+        while ctx.fleet.store.faults.is_down():
+            await asyncio.sleep(0.1)
+        ctx.configure()
+        await ctx.wait(2.5, 5.0)
+    for node in slow_nodes:
+        node.store_proxy.bytes_per_second = None
+
+
 async def evacuate_zone(ctx: FaultContext) -> None:
     """Evacuates an availability zone, then revokes the evacuation."""
     zone = ctx.rng.choice(fleet.ZONES)
@@ -397,11 +427,17 @@
 Fault = collections.abc.Callable[
     [FaultContext], collections.abc.Coroutine[None, None, None]
 ]
-EXCLUSIVE_STORE_FAULTS = frozenset(
+_STORE_FAULTS = frozenset(
     {stop_store, slow_store, lose_store_answers, turn_nodes_away}
 )
-"""Faults of which only one may run at a time, because they set the same
-faults of the store."""
+"""Faults that set the same faults of the store."""
+
+NOT_BESIDE: dict[Fault, frozenset[Fault]] = {
+    **dict.fromkeys(_STORE_FAULTS, _STORE_FAULTS),
+    grow_configuration: frozenset({grow_configuration, change_configuration}),
+    change_configuration: frozenset({grow_configuration}),
+}
+"""Faults beside which a fault isn't started."""
 
 ALL: dict[str, Fault] = {
     fault.__name__: fault
@@ -425,6 +461,7 @@
         delay_orders,
         replace_target,
         change_configuration,
+        grow_configuration,
         evacuate_zone,
     )
 }
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,10 +1,14 @@
-"""A TCP proxy that can delay, pause, reset and refuse connections."""
+"""A TCP proxy that can delay, slow, pause, reset and refuse connections."""
 
 import asyncio
+import collections
 import socket
 
 from jujubeyard import connections
 
+BLOCK_BYTES = 16_384
+"""Size of the parts in which bytes pass a link of limited bandwidth."""
+
 
 class Proxy:
     """Forwards TCP connections to a backend and injects network faults.
@@ -15,6 +19,8 @@
 
     Attributes:
         delay_seconds: How long to delay the bytes that are forwarded.
+        bytes_per_second: Bandwidth to clients, which all connections share;
+            None if it isn't limited.
         is_refusing: Whether new connections are reset.
     """
 
@@ -23,7 +29,9 @@
         self._server: asyncio.Server | None = None
         self._endpoints: set[_Endpoint] = set()
         self._paused: set[bool] = set()
+        self._link_free_at = 0.0
         self.delay_seconds = 0.0
+        self.bytes_per_second: float | None = None
         self.is_refusing = False
 
     async def start(self, host: str, port: int) -> None:
@@ -64,6 +72,23 @@
         """Returns whether a direction is paused."""
         return inward in self._paused
 
+    def pass_link(self, size: int, inward: bool) -> float:
+        """Occupies the link, and returns when the last byte has passed it.
+
+        Args:
+            size: Number of bytes.
+            inward: Whether they are sent to the backend.
+
+        Returns:
+            A time of the event loop, in seconds.
+        """
+        passed_at = asyncio.get_running_loop().time()
+        if self.bytes_per_second is not None and not inward:
+            seconds = size / self.bytes_per_second
+            passed_at = max(passed_at, self._link_free_at) + seconds
+            self._link_free_at = passed_at
+        return passed_at + self.delay_seconds
+
     def add(self, endpoint: "_Endpoint") -> None:
         """Registers one endpoint of a new connection."""
         self._endpoints.add(endpoint)
@@ -98,6 +123,10 @@
     def __init__(self, proxy: Proxy, inward: bool):
         self._proxy = proxy
         self._inward = inward
+        self._in_transit: collections.deque[tuple[float, bytes]] = (
+            collections.deque()
+        )
+        self._delivery: asyncio.TimerHandle | None = None
         self._buffered = bytearray()
         self._transport: asyncio.Transport | None = None
         self._connect_task: asyncio.Task | None = None
@@ -116,20 +145,21 @@
             self._connect_task = asyncio.get_running_loop().create_task(coro)
 
     def data_received(self, data: bytes) -> None:
-        """Forwards bytes, after the delay if one is set."""
-        delay = self._proxy.delay_seconds
-        if delay:
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay, self._forward, data)
-        else:
-            self._forward(data)
+        """Forwards bytes, in order, once they have passed the link."""
+        for start in range(0, len(data), BLOCK_BYTES):
+            block = data[start : start + BLOCK_BYTES]
+            passed_at = self._proxy.pass_link(len(block), self._inward)
+            self._in_transit.append((passed_at, block))
+        if self._delivery is None:
+            self._deliver()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Closes the peer, or resets it after an error or a loss of bytes."""
         self._proxy.discard(self)
         self._is_closed = True
         if self.peer is not None:
-            self.peer.close(abort=exc is not None or bool(self._buffered))
+            has_lost_bytes = bool(self._in_transit or self._buffered)
+            self.peer.close(abort=exc is not None or has_lost_bytes)
 
     def flush(self) -> None:
         """Forwards buffered bytes unless the direction is paused."""
@@ -156,6 +186,16 @@
         else:
             self._transport.close()
 
+    def _deliver(self) -> None:
+        """Forwards the bytes that have passed the link by now."""
+        self._delivery = None
+        loop = asyncio.get_running_loop()
+        while self._in_transit and self._in_transit[0][0] <= loop.time():
+            self._forward(self._in_transit.popleft()[1])
+        if self._in_transit:
+            passed_at = self._in_transit[0][0]
+            self._delivery = loop.call_at(passed_at, self._deliver)
+
     def _forward(self, data: bytes) -> None:
         if self._is_closed:
             return
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 
 import pytest
 
@@ -87,3 +88,30 @@
     async with asyncio.timeout(1.0):
         assert await reader.readexactly(5) == b"ABCDE"
     writer.close()
+
+
+async def test_connections_share_the_bandwidth_to_clients(proxy_and_port):
+    tcp_proxy, port = proxy_and_port
+    tcp_proxy.bytes_per_second = 100_000
+    conns = [await asyncio.open_connection(HOST, port) for _ in range(2)]
+    started_at = time.monotonic()
+    for _, writer in conns:
+        writer.write(b"x" * 20_000)
+    for reader, writer in conns:
+        async with asyncio.timeout(2.0):
+            await reader.readexactly(20_000)
+        writer.close()
+    assert time.monotonic() - started_at >= 0.4
+
+
+async def test_bytes_stay_in_order_when_a_delay_ends(proxy_and_port):
+    tcp_proxy, port = proxy_and_port
+    reader, writer = await asyncio.open_connection(HOST, port)
+    tcp_proxy.delay_seconds = 0.1
+    writer.write(b"a")
+    await asyncio.sleep(0.05)
+    tcp_proxy.delay_seconds = 0.0
+    writer.write(b"b")
+    async with asyncio.timeout(1.0):
+        assert await reader.readexactly(2) == b"ab"
+    writer.close()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -3,13 +3,19 @@
 import pytest
 
 from soak import core
+from soak import faults
 
 SHORT_SECONDS = 8.0
 SEEDS = [3, 6]
+FIRST_FAULTS = tuple(
+    name for name in faults.ALL if name != "grow_configuration"
+)
 REGRESSION_SEEDS = [
-    pytest.param(4, 25.0, id="a reload while a node starts ended it"),
+    pytest.param(
+        4, 25.0, FIRST_FAULTS, id="a reload while a node starts ended it"
+    ),
 ]
-"""Seeds and durations that once exposed a bug, with its cause as the ID."""
+"""Seeds, durations and faults that exposed a bug, with its cause as the ID."""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -19,9 +25,15 @@
     assert outcome.call_count > 0
 
 
-@pytest.mark.parametrize(("seed", "seconds"), REGRESSION_SEEDS)
+@pytest.mark.parametrize(("seed", "seconds", "only"), REGRESSION_SEEDS)
 def test_soak_of_a_regression_seed_violates_no_guarantee(
-    seed, seconds, tmp_path
+    seed, seconds, only, tmp_path
 ):
-    outcome = core.run_seed(seed, tmp_path, seconds)
+    outcome = core.run_seed(seed, tmp_path, seconds, only)
     assert [str(finding) for finding in outcome.findings] == []
+
+
+def test_grown_configuration_on_slow_links_is_in_force_in_time(tmp_path):
+    outcome = core.run_seed(2, tmp_path, 15.0, ("grow_configuration",))
+    assert [str(finding) for finding in outcome.findings] == []
+    assert outcome.call_count > 0
--- a/tests/store/test_slow_link.py
+++ b/tests/store/test_slow_link.py
@@ -12,51 +12,16 @@
 from jujubeyard.store import health
 from jujubeyard.store import mirror
 from platform_standins import store as standin_store
+from soak import proxy
 from tests.utils import fakes
 from tests.utils import processes
 
 CONFIGURATION_BYTES = 250_000
 BEACON_SECONDS = 0.4
 IN_FORCE_SECONDS = 2.5
-BLOCK_BYTES = 16_384
 SETTLE_SECONDS = 0.3
 
 
-class Link:
-    """Passes on the connections of a node to the store, slowly."""
-
-    def __init__(self, host: str, port: str):
-        self.bytes_per_second = 1_000_000
-        self._host = host
-        self._port = port
-        self._lock = asyncio.Lock()
-
-    async def serve(self, reader, writer) -> None:
-        """Passes on one connection."""
-        store_reader, store_writer = await asyncio.open_connection(
-            self._host, self._port
-        )
-        try:
-            await asyncio.gather(
-                self._copy(reader, store_writer, None),
-                self._copy(store_reader, writer, self.bytes_per_second),
-            )
-        except ConnectionError:
-            return
-        finally:
-            store_writer.close()
-            writer.close()
-
-    async def _copy(self, reader, writer, bytes_per_second) -> None:
-        while block := await reader.read(BLOCK_BYTES):
-            if bytes_per_second is not None:
-                async with self._lock:
-                    await asyncio.sleep(len(block) / bytes_per_second)
-            writer.write(block)
-            await writer.drain()
-        writer.close()
-
-
 class VersionListener:
     """Keeps the values that a mirror delivers."""
 
@@ -77,11 +42,12 @@
     await runner.setup()
     host, port = processes.make_address().split(":")
     await web.TCPSite(runner, host, int(port)).start()
-    link = Link(host, port)
-    server = await asyncio.start_server(link.serve, "127.0.0.1", 0)
-    address, port = server.sockets[0].getsockname()
-    yield created, link, f"{address}:{port}"
-    server.close()
+    link = proxy.Proxy((host, int(port)))
+    address = processes.make_address()
+    host, port = address.split(":")
+    await link.start(host, int(port))
+    yield created, link, address
+    link.close()
     await runner.cleanup()
 
 
