Bound the bodies of callers that an entry holds at once

Callers: 60 of them that sent a body of 1 MiB but for its last byte kept 60 MiB in an entry, and more callers more, until the process was ended for its memory.

Cause: each body had a limit, all bodies together had none.

Change: the entry reads bodies with the BodyReader that nodes and gates use: a body over its own limit is answered 413, one that would bring all bodies over 32 MiB is refused at once (429), and the connection is closed after at most a second.

--- a/src/jujubeyard/entry/entry.py
+++ b/src/jujubeyard/entry/entry.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from jujubeyard import bodies
 from jujubeyard import clock
 from jujubeyard import codes
 from jujubeyard import settings
@@ -39,6 +40,12 @@
 REPLY_GRACE_SECONDS = 0.1
 """How long after the deadline of a call the entry waits for the reply."""
 
+LINGER_SECONDS = 1.0
+"""How long the rest of a body is discarded after an early answer."""
+
+MAX_BUFFERED_BYTES = 32 * bodies.MIB
+"""Largest size of all bodies that are being read from callers."""
+
 MILLISECONDS_PER_SECOND = 1000.0
 HEALTH_PATH = "/-/health"
 SHUTDOWN_POLL_SECONDS = 0.02
@@ -73,10 +80,15 @@
         self._retry_budget = budget.Budget(RETRY_RATIO, RETRY_BURST)
         self._rng = random.Random(runtime.identity.name)
         self._metrics = metrics.EntryMetrics(runtime.registry)
+        self._body_reader = bodies.BodyReader(
+            cfg.max_body_bytes, MAX_BUFFERED_BYTES
+        )
         self._next_metrics_update = 0.0
         self._open_calls = 0
         self._shutting_down = False
-        self._server = web.Server(self._handle_request, access_log=None)
+        self._server = web.Server(
+            self._handle_request, access_log=None, lingering_time=LINGER_SECONDS
+        )
         self._runner = web.ServerRunner(self._server)
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -143,29 +155,19 @@
         if parsed.is_err():
             self._metrics.refused_requests.labels(int(parsed.err_value)).inc()
             return replies.make_error_response(parsed.err_value)
-        body = await self._read_body(req)
-        if body is None:
-            return replies.make_error_response(codes.ResultCode.BODY_TOO_LARGE)
+        if (req.content_length or 0) > self._cfg.max_body_bytes:
+            return _refuse_body(codes.ResultCode.BODY_TOO_LARGE)
+        try:
+            body = await self._body_reader.read(req.content)
+        except bodies.BodyTooLargeError:
+            return _refuse_body(codes.ResultCode.BODY_TOO_LARGE)
+        except bodies.BuffersFullError:
+            return _refuse_body(codes.ResultCode.OVERLOADED)
         started = clock.boottime()
         reply = await self._route(req, parsed.ok_value, body)
         self._record_call(parsed.ok_value, reply, clock.boottime() - started)
         return replies.make_response(reply)
 
-    async def _read_body(self, req: web.BaseRequest) -> bytes | None:
-        limit = self._cfg.max_body_bytes
-        if (req.content_length or 0) > limit:
-            return None
-        if not req.body_exists:
-            return b""
-        chunks = []
-        size = 0
-        async for chunk in req.content.iter_any():
-            size += len(chunk)
-            if size > limit:
-                return None
-            chunks.append(chunk)
-        return b"".join(chunks)
-
     async def _route(
         self, req, parsed: requests.ParsedRequest, body: bytes
     ) -> messages.CallReply:
@@ -307,5 +309,12 @@
         self._metrics.update_month()
 
 
+def _refuse_body(code: codes.ResultCode) -> web.Response:
+    """Returns the response to a request whose body isn't read whole."""
+    response = replies.make_error_response(code)
+    response.force_close()
+    return response
+
+
 def _ignore_message(peer: link.Link, message: messages.Message) -> None:
     del peer, message
--- a/tests/entry/test_entry.py
+++ b/tests/entry/test_entry.py
@@ -276,6 +276,28 @@
         ] == Code.OK
 
 
+async def test_bodies_of_many_callers_share_a_memory_limit():
+    size = 1024 * 1024
+    request = (
+        b"POST /desk/x HTTP/1.1\r\nHost: a\r\nX-Kind: read\r\nX-Key: k\r\n"
+        b"Content-Length: %d\r\n\r\n"
+    ) % size
+    async with running_entry([Code.OK], max_body=size) as (address, gate):
+        host, _, port = address.partition(":")
+        conns = [await asyncio.open_connection(host, port) for _ in range(60)]
+        for _, writer in conns:
+            writer.write(request + b"x" * (size - 1))
+        heads = [asyncio.create_task(reader.readline()) for reader, _ in conns]
+        await asyncio.wait(heads, timeout=2.0)
+        answers = {head.result() for head in heads if head.done()}
+        for head in heads:
+            head.cancel()
+        for _, writer in conns:
+            writer.close()
+    assert answers == {b"HTTP/1.1 429 Too Many Requests\r\n"}
+    assert gate.calls == []
+
+
 async def test_entry_survives_malformed_http():
     async with running_entry([Code.OK]) as (address, _):
         host, _, port = address.partition(":")
