Bound everything that a client connection receives for a call

Callers: a faulty target whose answer has no end outside its body (empty lines before it, zeros of a chunk's size, a chunk's extension) kept its connection and the link of the VM busy until the call's deadline; 370 to 1,143 MiB came in 2.5 s over loopback. Memory stayed bounded (45 MB).

Cause: the limits are those of bodies and of headers; framing is neither, and the library discards it without a limit.

Change: a connection counts all bytes since its call began and is reset after 16 MiB, twice the largest body. Such an answer is never taken as complete, nor one without a length. Holds for calls, orders to targets, and calls to the store.

Evidence: six of the new cases of test_endless_bytes_of_a_target_do_not_exhaust_memory failed before (TIMED_OUT); endless trailers were bounded already. Now all pass, 16 MiB each are received. Not bounded by it: a body of chunks of one byte, which costs processor time (some 2 us a chunk) until the deadline.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -10,12 +10,17 @@
 import aiohttp
 from aiohttp import client_proto
 
+from jujubeyard import bodies
+
 MIN_FINAL_STATUS = 200
 MIN_FAILURE_STATUS = 300
 MAX_MESSAGES_PER_CALL = 16
 """Answers to other calls and interim answers after which the answer of a call
 is not waited for any longer."""
 
+MAX_BYTES_PER_CALL = 16 * bodies.MIB
+"""Largest size of all that is received for a call, framing included."""
+
 KEEPALIVE_TIMEOUT_SECONDS = 4.0
 TCP_USER_TIMEOUT_MS = 2000
 """How long sent data may stay unacknowledged by the peer's kernel before the
@@ -33,7 +38,8 @@
 
     Attributes:
         call_id_header: Header with the ID of a call, in requests and answers.
-        was_reset: Whether the connection was reset instead of closed.
+        was_reset: Whether the connection was reset, by either side, instead of
+            closed.
     """
 
     def __init__(self, loop, call_id_header: str):
@@ -43,12 +49,14 @@
         self._is_out_of_sync = False
         self._is_answered = False
         self._message_count = 0
+        self._received_bytes = 0
         self.was_reset = False
 
     def begin_call(self) -> None:
         """Prepares for the answer to the next call."""
         self._is_answered = False
         self._message_count = 0
+        self._received_bytes = 0
 
     def set_expected_call(self, call_id: str | None) -> None:
         """Sets the ID of the call whose answer is read next."""
@@ -95,17 +103,29 @@
             self._is_out_of_sync = True
             self.abort()
             return
+        self._received_bytes += len(data)
+        if self._received_bytes > MAX_BYTES_PER_CALL:
+            self._reset("too many bytes")
+            return
         super().data_received(data)
         if len(self) > MAX_MESSAGES_PER_CALL:
-            self.set_exception(aiohttp.ClientPayloadError("too many answers"))
-            self.abort()
+            self._reset("too many answers")
+
+    def _reset(self, reason: str) -> None:
+        """Fails the call, whose answer isn't read any further."""
+        self.was_reset = True
+        error = aiohttp.ClientPayloadError(reason)
+        if self._payload is not None:
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        self.abort()
 
     def _finish_answer(self) -> None:
         self._is_answered = True
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Records whether the connection was reset instead of closed."""
-        self.was_reset = exc is not None
+        """Records whether the peer has reset the connection."""
+        self.was_reset |= exc is not None
         super().connection_lost(exc)
 
 
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -137,6 +137,7 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nX-Signature: s\r\n"
 BLOCK = b"x" * 65536
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n" * 1000
 OTHER_ANSWERS = raw_server.answer("c0", b"old") * 1000
 MAX_SENT_BYTES = 32 * bodies.MIB
@@ -148,7 +149,7 @@
     [
         pytest.param(HEAD + b"\r\n", BLOCK, id="body without length"),
         pytest.param(
-            HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+            CHUNKED_HEAD,
             b"10000\r\n" + BLOCK + b"\r\n",
             id="chunks",
         ),
@@ -164,6 +165,10 @@
         pytest.param(b"", BLOCK, id="no HTTP"),
         pytest.param(b"", INTERIM, id="interim answers"),
         pytest.param(b"", OTHER_ANSWERS, id="answers to other calls"),
+        pytest.param(b"", b"\r\n" * 32768, id="empty lines"),
+        pytest.param(CHUNKED_HEAD, b"0" * 65536, id="chunk size"),
+        pytest.param(CHUNKED_HEAD + b"5;a=", BLOCK, id="chunk extension"),
+        pytest.param(CHUNKED_HEAD + b"0\r\n", b"A: b\r\n" * 9999, id="trailer"),
     ],
 )
 async def test_endless_bytes_of_a_target_do_not_exhaust_memory(
