Drop a caller's body that stops, at the deadline of its call

Four callers that sent 8 MiB but for a byte and then nothing more, or whose VM was cut off, held them without end, and every later call with a body was refused as overloaded.

Cause: reading a body had no time limit.

Change: a body is read until the call's deadline at most, 30 s without one; then the caller is answered 504 (nothing has run), the connection is closed and the bytes are given up. A deadline that is not finite is malformed: as the end of a timer it would upset the event loop.

Evidence: test_body_that_stops_is_dropped_at_the_deadline and the cases nan and inf of test_invalid_deadline_returns_400 failed before; tests/node pass.

--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -1,13 +1,16 @@
 """HTTP servers for callers, readiness checks and metrics."""
 
+import asyncio
 import collections.abc
 import json
+import math
 import time
 
 from aiohttp import web
 
 from jujubeyard import bodies
 from jujubeyard import codes
+from jujubeyard import durations
 from jujubeyard.node import calls
 from jujubeyard.node import protocol
 from jujubeyard.node import settings
@@ -114,7 +117,13 @@
 
     async def _answer_request(self, req: web.Request) -> web.StreamResponse:
         try:
-            body = await self._body_reader.read(req.content)
+            timeout_seconds = self._parse_timeout(req)
+            async with asyncio.timeout(timeout_seconds):
+                body = await self._body_reader.read(req.content)
+        except ValueError:
+            return self._refuse_body(codes.ResultCode.BAD_REQUEST)
+        except TimeoutError:
+            return self._refuse_body(codes.ResultCode.DEADLINE_PAST)
         except bodies.BodyTooLargeError:
             return self._refuse_body(codes.ResultCode.BODY_TOO_LARGE)
         except bodies.BuffersFullError:
@@ -125,7 +134,7 @@
                 calls.make_error_reply(code, SHUTDOWN_RETRY_SECONDS)
             )
         try:
-            call = self._parse_call(req, body)
+            call = self._parse_call(req, body, timeout_seconds)
         except ValueError:
             return self._make_response(
                 calls.make_error_reply(codes.ResultCode.BAD_REQUEST)
@@ -141,18 +150,30 @@
         resp.force_close()
         return resp
 
-    def _parse_call(self, req: web.Request, body: bytes) -> calls.Call:
+    def _parse_timeout(self, req: web.Request) -> float:
+        """Returns how long the caller of a request waits, in seconds.
+
+        Raises:
+            ValueError: The deadline is malformed.
+        """
+        deadline_header = req.headers.get(self._header_names.deadline)
+        if deadline_header is None:
+            return DEFAULT_CALL_TIMEOUT_SECONDS
+        timeout_ms = float(deadline_header)
+        if not math.isfinite(timeout_ms):
+            raise ValueError(f"deadline {deadline_header} is not finite")
+        return timeout_ms / durations.MILLISECONDS_PER_SECOND
+
+    def _parse_call(
+        self, req: web.Request, body: bytes, timeout_seconds: float
+    ) -> calls.Call:
         """Returns the call in a request.
 
         Raises:
-            ValueError: The key or the deadline is malformed.
+            ValueError: The key is malformed.
         """
         header_names = self._header_names
         key_header = req.headers.get(header_names.key)
-        deadline_header = req.headers.get(header_names.deadline)
-        timeout_seconds = DEFAULT_CALL_TIMEOUT_SECONDS
-        if deadline_header is not None:
-            timeout_seconds = float(deadline_header) / 1000.0
         key = None
         if key_header is not None:
             key = int(key_header)
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -176,3 +176,27 @@
         answer.cancel()
     for _, writer in conns:
         writer.close()
+
+
+async def test_body_that_stops_is_dropped_at_the_deadline(harness):
+    reader, writer = await harness.connect()
+    writer.write(
+        b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Call: c1\r\n"
+        b"X-Deadline: 300\r\nContent-Length: 9\r\n\r\nx"
+    )
+    head, _ = await _read_answer(reader)
+    assert head.startswith(b"HTTP/1.1 504 ")
+    assert b"Connection: close" in head
+    assert not harness.calls
+    assert harness.server._body_reader.buffered_bytes == 0
+    writer.close()
+
+
+@pytest.mark.parametrize("deadline", [b"soon", b"nan", b"inf", b""])
+async def test_invalid_deadline_returns_400(harness, deadline):
+    reader, writer = await harness.connect()
+    writer.write(REQUEST[:-2] + b"X-Deadline: " + deadline + b"\r\n\r\n")
+    head, _ = await _read_answer(reader)
+    assert head.startswith(b"HTTP/1.1 400 ")
+    assert not harness.calls
+    writer.close()
