Drop the body of an entry's caller that stops, at its call's deadline

Change: entry and node read bodies with BodyReader.read_request, which has the time limit and names the result code of what isn't accepted; the same lines stood in both.

Evidence: test_body_that_stops_is_dropped_at_the_deadline of the entry failed before; tests/entry and tests/node/test_server.py pass.

--- a/src/jujubeyard/bodies.py
+++ b/src/jujubeyard/bodies.py
@@ -1,6 +1,11 @@
 """Reads HTTP bodies within a limit of memory."""
 
+import asyncio
+
 import aiohttp
+import result
+
+from jujubeyard import codes
 
 MIB = 1024 * 1024
 
@@ -54,6 +59,30 @@
             self.buffered_bytes -= len(body)
         return bytes(body)
 
+    async def read_request(
+        self, content: aiohttp.StreamReader, seconds: float
+    ) -> result.Result[bytes, codes.ResultCode]:
+        """Returns the body of a caller's request, or why it isn't accepted.
+
+        A connection whose body isn't accepted must be closed.
+
+        Args:
+            content: The content of the request.
+            seconds: Time until the deadline of the call.
+
+        Raises:
+            aiohttp.web.RequestPayloadError: The body is malformed.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                return result.Ok(await self.read(content))
+        except TimeoutError:
+            return result.Err(codes.ResultCode.DEADLINE_PAST)
+        except BodyTooLargeError:
+            return result.Err(codes.ResultCode.BODY_TOO_LARGE)
+        except BuffersFullError:
+            return result.Err(codes.ResultCode.OVERLOADED)
+
     def _check(self, body_bytes: int) -> None:
         if body_bytes > self._max_body_bytes:
             raise BodyTooLargeError(
--- a/src/jujubeyard/entry/entry.py
+++ b/src/jujubeyard/entry/entry.py
@@ -157,14 +157,13 @@
             return replies.make_error_response(parsed.err_value)
         if (req.content_length or 0) > self._cfg.max_body_bytes:
             return _refuse_body(codes.ResultCode.BODY_TOO_LARGE)
-        try:
-            body = await self._body_reader.read(req.content)
-        except bodies.BodyTooLargeError:
-            return _refuse_body(codes.ResultCode.BODY_TOO_LARGE)
-        except bodies.BuffersFullError:
-            return _refuse_body(codes.ResultCode.OVERLOADED)
+        body = await self._body_reader.read_request(
+            req.content, parsed.ok_value.timeout_ms / MILLISECONDS_PER_SECOND
+        )
+        if body.is_err():
+            return _refuse_body(body.err_value)
         started = clock.boottime()
-        reply = await self._route(req, parsed.ok_value, body)
+        reply = await self._route(req, parsed.ok_value, body.ok_value)
         self._record_call(parsed.ok_value, reply, clock.boottime() - started)
         return replies.make_response(reply)
 
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -1,6 +1,5 @@
 """HTTP servers for callers, readiness checks and metrics."""
 
-import asyncio
 import collections.abc
 import json
 import math
@@ -118,23 +117,20 @@
     async def _answer_request(self, req: web.Request) -> web.StreamResponse:
         try:
             timeout_seconds = self._parse_timeout(req)
-            async with asyncio.timeout(timeout_seconds):
-                body = await self._body_reader.read(req.content)
         except ValueError:
             return self._refuse_body(codes.ResultCode.BAD_REQUEST)
-        except TimeoutError:
-            return self._refuse_body(codes.ResultCode.DEADLINE_PAST)
-        except bodies.BodyTooLargeError:
-            return self._refuse_body(codes.ResultCode.BODY_TOO_LARGE)
-        except bodies.BuffersFullError:
-            return self._refuse_body(codes.ResultCode.OVERLOADED)
+        body = await self._body_reader.read_request(
+            req.content, timeout_seconds
+        )
+        if body.is_err():
+            return self._refuse_body(body.err_value)
         if self.is_refusing_calls:
             code = codes.ResultCode.SHUTTING_DOWN
             return self._make_response(
                 calls.make_error_reply(code, SHUTDOWN_RETRY_SECONDS)
             )
         try:
-            call = self._parse_call(req, body, timeout_seconds)
+            call = self._parse_call(req, body.ok_value, timeout_seconds)
         except ValueError:
             return self._make_response(
                 calls.make_error_reply(codes.ResultCode.BAD_REQUEST)
--- a/tests/entry/test_entry.py
+++ b/tests/entry/test_entry.py
@@ -298,6 +298,22 @@
     assert gate.calls == []
 
 
+async def test_body_that_stops_is_dropped_at_the_deadline():
+    request = (
+        b"POST /desk/x HTTP/1.1\r\nHost: a\r\nX-Kind: read\r\nX-Key: k\r\n"
+        b"X-Deadline-Ms: 300\r\nContent-Length: 9\r\n\r\nx"
+    )
+    async with running_entry([Code.OK]) as (address, gate):
+        host, _, port = address.partition(":")
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(request)
+        async with asyncio.timeout(3.0):
+            answer = await reader.read()
+        writer.close()
+    assert answer.startswith(b"HTTP/1.1 504 ")
+    assert gate.calls == []
+
+
 async def test_entry_survives_malformed_http():
     async with running_entry([Code.OK]) as (address, _):
         host, _, port = address.partition(":")
