Wait a moment for the answer that another node has had already

Change: a watch is abandoned only 0.3 s after another node is known to be ahead.

Evidence: test_watch_is_not_abandoned_when_another_node_is_a_moment_ahead failed before; tests/store pass. A watch that is never answered is begun anew 0.3 s later than before: 0.7 s after the change with a beacon each 0.4 s.

--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -25,6 +25,10 @@
 """Time that the reply to a watch may need on a busy link, if there are changes
 already. A younger watch isn't abandoned because changes are known elsewhere."""
 
+REPLY_SPREAD_SECONDS = 0.3
+"""Time between the first and the last node that begins to receive a change: the
+store sends it to all nodes over one link."""
+
 RETRY_SECONDS = 1.0
 """Longest wait for the store to recover before the next attempt."""
 
@@ -231,7 +235,7 @@
             return await watch
         interrupts = [
             asyncio.ensure_future(self._wait_health_change()),
-            asyncio.gather(self._behind.wait(), asyncio.sleep(REPLY_SECONDS)),
+            asyncio.gather(self._wait_behind(), asyncio.sleep(REPLY_SECONDS)),
         ]
         tasks = [watch, *interrupts]
         try:
@@ -245,6 +249,11 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _wait_behind(self) -> None:
+        """Waits until another node has changes that this one should have."""
+        await self._behind.wait()
+        await asyncio.sleep(REPLY_SPREAD_SECONDS)
+
     async def _wait_health_change(self) -> None:
         """Waits until a watch has to be abandoned for the store's availability.
 
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -270,3 +270,24 @@
     await watch
     assert ("changes", ["b"]) in listener.calls
     assert len(store.durations) == 1
+
+
+async def test_watch_is_not_abandoned_when_another_node_is_a_moment_ahead(
+    monkeypatch,
+):
+    monkeypatch.setattr(mirror, "REPLY_SECONDS", 0.05)
+
+    async def answer():
+        await asyncio.sleep(0.2)
+        return _changed(12, "b")
+
+    listener = RecordingListener()
+    store = ScriptedStore(answer)
+    store_mirror = _make_mirror(store, listener)
+    await store_mirror._read_all()
+    watch = asyncio.create_task(store_mirror._watch_once())
+    await asyncio.sleep(0.1)
+    store_mirror.wake_if_behind(12)
+    await watch
+    assert ("changes", ["b"]) in listener.calls
+    assert len(store.durations) == 1
