Let a long transfer stand for the pause between two watches

Callers: on the same play node front-valdivia-c-15 had version 17 at 22.90 s and asked for version 21 at 23.30 s, after a pause of 0.4 s that lets changes in quick succession share a call; the transfer then took 1.5 s and the version was in force 2.09 s after the first node had it, of 2.5 s.

Cause: the pause began when a transfer had ended, though the changes made while it lasted (0.9 s here) share the next call anyway.

Change: the pause is counted from when the answer began to arrive.

Evidence: the cases 0.2 and 0.4 s of test_long_transfer_does_not_delay_the_next_version_by_a_pause failed before; tests/store pass. In a double of the store the time of the first part is now the time at which it was recorded, as the store's client does it.

--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -208,10 +208,7 @@
         if items:
             self._listener.apply_changes(items, age)
             self._update_latest_revision(items)
-            pause = LOW_LATENCY_BATCH_SECONDS
-            await asyncio.sleep(
-                pause if self.is_low_latency else self._batch_seconds
-            )
+            await asyncio.sleep(self._measure_pause(transfer))
 
     async def _watch(self, transfer: interface.Transfer):
         """Runs one watch; returns its outcome, or None if it was abandoned.
@@ -267,6 +264,19 @@
         else:
             await self._health.wait_available()
 
+    def _measure_pause(self, transfer: interface.Transfer) -> float:
+        """Returns the pause before the next watch, in seconds.
+
+        Changes that were made while an answer arrived share the next one, so
+        that a long transfer needs no further pause.
+        """
+        pause = self._batch_seconds
+        if self.is_low_latency:
+            pause = LOW_LATENCY_BATCH_SECONDS
+        if transfer.first_byte_at is None:
+            return pause
+        return max(0.0, transfer.first_byte_at + pause - time.monotonic())
+
     def _measure_age(
         self, started_at: float, transfer: interface.Transfer
     ) -> float:
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -1,6 +1,7 @@
 """Tests of the mirror during outages and after compaction of the store."""
 
 import asyncio
+import time
 
 import pytest
 import result
@@ -50,7 +51,7 @@
         if callable(outcome):
             return await outcome()
         if self.arriving_seconds:
-            transfer.record_chunk(1, 0.0)
+            transfer.record_chunk(1, time.monotonic())
             await asyncio.sleep(self.arriving_seconds)
         return outcome
 
@@ -291,3 +292,20 @@
     await watch
     assert ("changes", ["b"]) in listener.calls
     assert len(store.durations) == 1
+
+
+@pytest.mark.parametrize(
+    ("arriving_seconds", "pause_seconds"), [(0.0, 0.3), (0.2, 0.1), (0.4, 0.0)]
+)
+async def test_long_transfer_does_not_delay_the_next_version_by_a_pause(
+    arriving_seconds, pause_seconds
+):
+    store = ScriptedStore(_changed(12, "b"))
+    store.arriving_seconds = arriving_seconds
+    store_mirror = _make_mirror(store, RecordingListener())
+    store_mirror._batch_seconds = 0.3
+    await store_mirror._read_all()
+    started_at = time.monotonic()
+    await store_mirror._watch_once()
+    seconds = time.monotonic() - started_at
+    assert seconds == pytest.approx(arriving_seconds + pause_seconds, abs=0.05)
