Refuse calls of all routes of a service by one bound

Cause: a call is refused if it would take over twice its route's objective. The added routes have an objective of 1.0 s, the first one to that service 1.608 s. Calls of all wait in the same queues of targets. In an overload the calls with the longer objective keep the queues at some 3.2 s, so that those with the shorter one are refused as long as it lasts. The lines show it: refused calls of r-wvu3bij with expected 3.05 and objective 1.0, beside served ones of r-hkbbwu8; all 1,035 refused calls of added routes have the objective 1.0 or 1.333.

Ruled out: nodes without the version (the refused calls name version 20, the newest); missing owners (214 and 215 are few).

Class: a limit on a shared queue that differs by who asks. Elsewhere: the bound for a call's remaining time differs too, but a call past it can't be served; the share of connections is one for all.

Change: the bound is twice the longest objective of the service's routes. At the old bound a call of the tight route was late anyway; now it has the same chance as the others. The line of a refusal names both objectives.

Evidence: test_added_route_with_shorter_objective_is_not_starved failed for the route with the shorter objective (429) and passes.

--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -247,12 +247,15 @@
             target.listing.slots, now
         )
         objective = state.route.objective
+        longest_objective = self._view.routes.longest_objectives.get(
+            service.name, objective
+        )
         nodes = self._view.node_count()
         is_full = not admission.has_spare_connection(
             target, service.max_connections, nodes
         )
         if is_full or admission.should_refuse(
-            expected_seconds, objective, state.remaining_seconds()
+            expected_seconds, longest_objective, state.remaining_seconds()
         ):
             state.latest_code = codes.ResultCode.OVERLOADED
             state.retry_after = admission.retry_after(
@@ -265,6 +268,7 @@
                 target=target.listing.target_id,
                 expected=round(expected_seconds, 3),
                 objective=objective,
+                longest_objective=longest_objective,
                 report=repr(target.load.report),
                 report_age=round(now - target.load.reported_at, 3),
             )
--- a/src/jujubeyard/routing/admission.py
+++ b/src/jujubeyard/routing/admission.py
@@ -7,7 +7,10 @@
 from jujubeyard.targets import registry
 
 MAX_LATENCY_FACTOR = 2.0
-"""Multiple of a route's latency objective above which calls are refused."""
+"""Multiple of the longest latency objective of a service's routes above which
+calls are refused. The bound is the same for all routes, since their calls wait
+in the same queues: one with a shorter objective would be refused throughout an
+overload that calls of the others keep up."""
 
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 1.0
@@ -16,16 +19,18 @@
 
 
 def should_refuse(
-    expected_seconds: float, objective: float, remaining: float
+    expected_seconds: float, longest_objective: float, remaining: float
 ) -> bool:
     """Returns whether a call should be refused as too slow.
 
     Args:
         expected_seconds: Estimated duration of the call, in seconds.
-        objective: Latency objective of the route, in seconds.
+        longest_objective: Longest latency objective of the routes to the
+            service, in seconds.
         remaining: Time until the deadline of the call, in seconds.
     """
-    return expected_seconds > min(MAX_LATENCY_FACTOR * objective, remaining)
+    limit = min(MAX_LATENCY_FACTOR * longest_objective, remaining)
+    return expected_seconds > limit
 
 
 def retry_after(expected_seconds: float, objective: float) -> float:
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -34,7 +34,7 @@
 }
 
 
-def _route(name, service, idempotent, timeout=1.0):
+def _route(name, service, idempotent, timeout=1.0, objective=0.5):
     return config.Route(
         name,
         "a.example",
@@ -42,7 +42,7 @@
         (config.TrafficShare(service, 1.0),),
         idempotent,
         timeout,
-        0.5,
+        objective,
         2,
         1,
     )
@@ -53,6 +53,7 @@
     _route("order", "pool", False),
     _route("short", "pool", False, timeout=0.2),
     _route("lookup", "desk", True),
+    _route("urgent", "desk", True, objective=0.3),
 )
 
 
@@ -372,6 +373,20 @@
     assert not harness.client.sent
 
 
+@pytest.mark.parametrize("route", ["lookup", "urgent"])
+@pytest.mark.parametrize(("in_flight", "status"), [(14, 200), (30, 429)])
+async def test_added_route_with_shorter_objective_is_not_starved(
+    harness, route, in_flight, status
+):
+    target = harness.add_target("t1", "desk")
+    harness.set_owner("t1")
+    for _ in range(30):
+        target.load.observe_success(0.3, 0.0)
+    target.load.in_flight = in_flight
+    harness.client.script = [make_answer()]
+    assert (await harness.serve(route, key=5)).status == status
+
+
 async def test_calls_to_cold_target_are_rate_limited(harness):
     harness.add_target("t1", cold_seconds=3.0)
     harness.client.script = [make_answer()]
--- a/tests/routing/test_routing_tables.py
+++ b/tests/routing/test_routing_tables.py
@@ -126,7 +126,7 @@
 
 
 @pytest.mark.parametrize(
-    ("expected", "objective", "remaining", "refused"),
+    ("expected", "longest_objective", "remaining", "refused"),
     [
         (0.2, 0.5, 2.0, False),
         (1.01, 0.5, 2.0, True),
@@ -135,9 +135,10 @@
     ],
 )
 def test_calls_expected_to_be_too_slow_are_refused(
-    expected, objective, remaining, refused
+    expected, longest_objective, remaining, refused
 ):
-    assert admission.should_refuse(expected, objective, remaining) is refused
+    is_refused = admission.should_refuse(expected, longest_objective, remaining)
+    assert is_refused is refused
 
 
 @pytest.mark.parametrize("expected", [0.0, 0.4, 5.0, 100.0])
