Ask for the configuration as tables whose fields are named once

Cause: each route named all of its fields, some 215 bytes a route of which half are names.

Change: deploy/wire.toml asks for the shape that names the columns of a table once. The adapter reads that one, and the earlier list of resources, which the store may still hold after an update. The soak's operator writes the new shape.

--- a/platform_standins/documents.py
+++ b/platform_standins/documents.py
@@ -57,49 +57,49 @@
     routes: collections.abc.Iterable[Route],
 ) -> bytes:
     """Builds a version of the operator's configuration."""
-    resources = [_service_resource(service) for service in services]
-    resources += [_route_resource(route) for route in routes]
-    limits = {"maxBodyBytes": MAX_BODY_BYTES}
-    resources.append({"resourceKind": "limits", "metadata": {}, "spec": limits})
-    document = {"version": f"r{version}", "resources": resources}
-    return json.dumps(document).encode()
+    document = {
+        "version": f"r{version}",
+        "routes": _make_table(map(_route_fields, routes)),
+        "services": _make_table(map(_service_fields, services)),
+        "limits": {"maxBodyBytes": MAX_BODY_BYTES},
+    }
+    return json.dumps(document, separators=(",", ":")).encode()
+
 
+def _make_table(rows: collections.abc.Iterable[dict]) -> dict:
+    """Returns a table of rows that all have the same fields."""
+    rows = list(rows)
+    columns = list(rows[0]) if rows else []
+    return {"columns": columns, "rows": [list(row.values()) for row in rows]}
 
-def _service_resource(service: Service) -> dict:
+
+def _service_fields(service: Service) -> dict:
     return {
-        "resourceKind": "services",
-        "metadata": {"name": service.name},
-        "spec": {
-            "healthPath": HEALTH_PATH,
-            "maxConns": MAX_CONNECTIONS,
-            "coldStart": durations.format_seconds(COLD_SECONDS),
-            "coldPerS": COLD_CALLS_PER_SECOND,
-            "sharded": service.keyed,
-        },
+        "name": service.name,
+        "healthPath": HEALTH_PATH,
+        "maxConns": MAX_CONNECTIONS,
+        "coldStart": durations.format_seconds(COLD_SECONDS),
+        "coldPerS": COLD_CALLS_PER_SECOND,
+        "sharded": service.keyed or None,
     }
 
 
-def _route_resource(route: Route) -> dict:
+def _route_fields(route: Route) -> dict:
     kind = next(
         kind
         for kind, idempotent in documents.IDEMPOTENT_BY_KIND.items()
         if idempotent == route.idempotent
     )
     return {
-        "resourceKind": "routes",
-        "metadata": {"name": route.name},
-        "spec": {
-            "host": HOST,
-            "prefix": f"/{route.name}/",
-            "kind": kind,
-            "timeout": durations.format_seconds(ROUTE_TIMEOUT_SECONDS),
-            "targetLatency": durations.format_seconds(
-                LATENCY_OBJECTIVE_SECONDS
-            ),
-            "priority": 1,
-            "service": route.service,
-            "maxAttempts": 2,
-        },
+        "name": route.name,
+        "host": HOST,
+        "prefix": f"/{route.name}/",
+        "kind": kind,
+        "timeout": durations.format_seconds(ROUTE_TIMEOUT_SECONDS),
+        "targetLatency": durations.format_seconds(LATENCY_OBJECTIVE_SECONDS),
+        "priority": 1,
+        "service": route.service,
+        "maxAttempts": 2,
     }
 
 
--- a/src/jujubeyard/platform/documents.py
+++ b/src/jujubeyard/platform/documents.py
@@ -1,5 +1,6 @@
 """Parses the platform's JSON documents and load headers."""
 
+import dataclasses
 import ipaddress
 import json
 
@@ -49,26 +50,78 @@
     """
     try:
         document = parse_json_object(body)
-        services, routes, max_body = {}, [], 0
-        for resource in document["resources"]:
-            kind, spec = resource["resourceKind"], resource["spec"]
-            if kind == "services":
-                name = resource["metadata"]["name"]
-                services[name] = _parse_service(name, spec)
-            elif kind == "routes":
-                routes.append(_parse_route(resource["metadata"]["name"], spec))
-            elif kind == "limits":
-                max_body = int(spec["maxBodyBytes"])
+        resources = _list_resources(document)
+        services = {
+            spec["name"]: _parse_service(spec) for spec in resources.services
+        }
+        routes = tuple(map(_parse_route, resources.routes))
         _check_service_names(routes, services)
         version = int(document["version"].removeprefix("r"))
-        return config.Configuration(version, tuple(routes), services, max_body)
+        max_body = int(resources.limits.get("maxBodyBytes", 0))
+        return config.Configuration(version, routes, services, max_body)
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise errors.FormatError(f"configuration: {exc!r}") from exc
 
 
-def _parse_service(name: str, spec: dict) -> config.Service:
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Resources:
+    """The resources of a configuration, by their kind.
+
+    Attributes:
+        routes: Fields of each route, with its name.
+        services: Fields of each service, with its name.
+        limits: The limits of callers' requests.
+    """
+
+    routes: list[dict]
+    services: list[dict]
+    limits: dict
+
+
+def _list_resources(document: dict) -> _Resources:
+    """Returns the resources of a configuration.
+
+    They are tables whose columns are named once, as deploy/wire.toml asks for;
+    a configuration of many routes is less than half as large then. One that
+    was stored before is a list of resources with a kind each.
+    """
+    if "resources" in document:
+        return _group_resources(document["resources"])
+    return _Resources(
+        _expand_table(document["routes"]),
+        _expand_table(document["services"]),
+        document["limits"],
+    )
+
+
+def _expand_table(table: dict) -> list[dict]:
+    """Returns the rows of a table as fields by name, without missing ones."""
+    names, rows = table["columns"], table["rows"]
+    if not isinstance(rows, list):
+        raise TypeError("rows are not a list")
+    return [
+        {
+            name: value
+            for name, value in zip(names, row, strict=True)
+            if value is not None
+        }
+        for row in rows
+    ]
+
+
+def _group_resources(entries: list[dict]) -> _Resources:
+    specs = {"routes": [], "services": [], "limits": []}
+    for entry in entries:
+        group = specs.get(entry["resourceKind"])
+        if group is not None:
+            group.append(entry["metadata"] | entry["spec"])
+    limits = specs["limits"][-1] if specs["limits"] else {}
+    return _Resources(specs["routes"], specs["services"], limits)
+
+
+def _parse_service(spec: dict) -> config.Service:
     return config.Service(
-        name=name,
+        name=spec["name"],
         keyed=bool(spec.get("sharded", False)),
         max_connections=int(spec["maxConns"]),
         cold_seconds=durations.parse_seconds(spec.get("coldStart", "0s")),
@@ -77,7 +130,7 @@
     )
 
 
-def _parse_route(name: str, spec: dict) -> config.Route:
+def _parse_route(spec: dict) -> config.Route:
     if "trafficSplit" in spec:
         shares = tuple(
             config.TrafficShare(part["service"], float(part["weight"]))
@@ -89,7 +142,7 @@
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise ValueError(f"prefix {prefix!r} must start and end with '/'")
     return config.Route(
-        name=name,
+        name=spec["name"],
         host=str(spec["host"]),
         prefix=prefix,
         shares=shares,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -17,6 +17,56 @@
     "born": 1776851943024,
 }
 CONFIGURATION = {
+    "version": "r7",
+    "baseVersion": "r5",
+    "routes": {
+        "columns": [
+            "name",
+            "host",
+            "prefix",
+            "kind",
+            "timeout",
+            "targetLatency",
+            "priority",
+            "trafficSplit",
+            "maxAttempts",
+            "service",
+        ],
+        "rows": [
+            [
+                "r1",
+                "jepu9.example",
+                "/lepu270/",
+                "safe",
+                "1500ms",
+                "500ms",
+                2,
+                [
+                    {"service": "desk", "weight": 90},
+                    {"service": "book", "weight": 10},
+                ],
+                2,
+                None,
+            ],
+        ],
+    },
+    "services": {
+        "columns": [
+            "name",
+            "healthPath",
+            "maxConns",
+            "coldStart",
+            "coldPerS",
+            "sharded",
+        ],
+        "rows": [
+            ["desk", "/health", 130, "3s", 11.0, True],
+            ["book", "/health", 130, None, None, None],
+        ],
+    },
+    "limits": {"maxBodyBytes": 67108864},
+}
+EARLIER_CONFIGURATION = {
     "version": "r7",
     "baseVersion": "r5",
     "resources": [
@@ -128,8 +178,9 @@
         documents.parse_configuration(body)
 
 
-def test_parses_configuration():
-    parsed = documents.parse_configuration(json.dumps(CONFIGURATION).encode())
+@pytest.mark.parametrize("document", [CONFIGURATION, EARLIER_CONFIGURATION])
+def test_parses_configuration(document):
+    parsed = documents.parse_configuration(json.dumps(document).encode())
     assert parsed.version == 7
     assert parsed.services["desk"].keyed
     assert not parsed.services["book"].keyed
@@ -137,6 +188,7 @@
     assert [part.weight for part in route.shares] == [90.0, 10.0]
     assert (route.timeout, route.objective) == (1.5, 0.5)
     assert route.idempotent
+    assert parsed.max_body_bytes == 67108864
 
 
 @pytest.mark.parametrize(
@@ -152,6 +204,34 @@
         (["resources", 0, "spec", "trafficSplit", 0, "service"], "other"),
     ],
 )
+def test_rejects_malformed_earlier_configuration(path, value):
+    body = _encode_with(path, value, EARLIER_CONFIGURATION)
+    with pytest.raises(errors.FormatError):
+        documents.parse_configuration(body)
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (["version"], "7x"),
+        (["version"], 7),
+        (["routes"], DROP),
+        (["services"], DROP),
+        (["limits"], DROP),
+        (["limits", "maxBodyBytes"], "x"),
+        (["routes", "columns"], DROP),
+        (["routes", "rows"], {}),
+        (["routes", "rows", 0], ["r1"]),
+        (["routes", "rows", 0, 0], None),
+        (["routes", "rows", 0, 1], None),
+        (["routes", "rows", 0, 2], "x"),
+        (["routes", "rows", 0, 3], "odd"),
+        (["routes", "rows", 0, 4], None),
+        (["routes", "rows", 0, 7, 0, "service"], "other"),
+        (["routes", "rows", 0, 7], None),
+        (["services", "rows", 0, 0], "other"),
+    ],
+)
 def test_rejects_malformed_configuration(path, value):
     with pytest.raises(errors.FormatError):
         documents.parse_configuration(_encode_with(path, value, CONFIGURATION))
