Count the leaving of a target from the last proof that it was listed

Timeline: 23.105 s the target is removed; other nodes know by 23.11 to 23.41 s. Node front-amakusa-cape-7, on a busy link, gives up its watch at 23.448 s, starts another one, and is answered at 24.33 s. It reads a call for a key of the target at 25.41 s and sends it; it arrives at 25.642 s.

Cause: a watch that was answered later than 0.3 s after its start was taken for one that had waited for a change, so that the change was dated 0.3 s before the answer (24.02 s) and the target used until 1.5 s after that, 25.52 s.

Change: the items are known to be current when an answer begins, and when a beacon of the leader names just the revision that the node has; changes are dated from then, whatever the answer took. A beacon comes each 0.4 s. Without a leader a target that leaves is not used any more once it is known.

--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -33,9 +33,6 @@
 """Longest wait for the store to recover before the next attempt."""
 
 RETRY_JITTER_SECONDS = 0.15
-IMMEDIATE_ANSWER_SECONDS = 0.3
-"""Time within which a watch is answered if there are changes already."""
-
 LARGE_ANSWER_BYTES = 65536
 """Size from which on the transfer of an answer is logged."""
 
@@ -141,12 +138,19 @@
     def wake_if_behind(self, revision: int) -> None:
         """Restarts the watch if another node has seen a newer revision.
 
+        If the other node has seen just what this one has, the items were
+        current when it said so.
+
         Args:
             revision: Latest revision under the prefix on the other node.
         """
         self._known_revision = max(self._known_revision, revision)
-        if self.revision is not None and self.is_behind():
+        if self.revision is None:
+            return
+        if self.is_behind():
             self._behind.set()
+        elif revision >= self.latest_revision:
+            self._current_at = time.monotonic()
 
     def is_behind(self) -> bool:
         """Returns whether items may be newer than those that were delivered.
@@ -204,7 +208,7 @@
         self._record_success()
         items = outcome.ok_value.items
         self.revision = max(self.revision, outcome.ok_value.revision)
-        age = self._measure_age(started_at, transfer)
+        age = self._measure_age(transfer)
         if items:
             self._listener.apply_changes(items, age)
             self._update_latest_revision(items)
@@ -277,26 +281,19 @@
             return pause
         return max(0.0, transfer.first_byte_at + pause - time.monotonic())
 
-    def _measure_age(
-        self, started_at: float, transfer: interface.Transfer
-    ) -> float:
+    def _measure_age(self, transfer: interface.Transfer) -> float:
         """Returns since when the changes that a watch returned may exist.
 
-        A watch that had to wait returns its changes as soon as they are made.
-        One that is answered at once may return changes that were made at any
-        time since the answer before.
+        That is since the items were last known to be current. How long the
+        answer took says nothing: on a busy link it may be late itself.
 
         Args:
-            started_at: When the watch was started, in monotonic seconds.
-            transfer: How its answer arrived.
+            transfer: How the answer arrived.
         """
         now = time.monotonic()
-        answered_at = transfer.first_byte_at or now
-        made_after = self._current_at
-        if answered_at - started_at > IMMEDIATE_ANSWER_SECONDS:
-            made_after = max(made_after, answered_at - IMMEDIATE_ANSWER_SECONDS)
-        self._current_at = answered_at
-        return now - made_after
+        age = now - self._current_at
+        self._current_at = transfer.first_byte_at or now
+        return age
 
     def _log_large_answer(
         self, started_at: float, transfer: interface.Transfer
