Keep removed targets in use only after an outage that listings may not survive

Cause: a target that is no longer listed stays in use for up to 1.2 s if the store was unreachable in the last 2 s, because its listing may have expired in the outage. Node front-amakusa-cape-7 had seen an 'outage' from 23.547 to 24.319 s: one renewal that was late on a busy link. The removal, learned at 24.333 s, was taken for an expiry, and the target used until 25.53 s.

Class: a fault of this node's link taken for one of all. Elsewhere: a failed call only makes the next watch short; leadership and grants go by the leader's own lease.

Change: only an outage of 1.5 s or more counts. The line 'store reachable again' says how long it was.

Evidence: test_target_removed_while_a_busy_link_hid_the_store_is_unavailable; on the code before, with its single argument, the target was available after any outage. In the other tests of the registry the outages, which had no length, last 5 s. What is given up: listings that expire in an outage of under 1.5 s.

--- a/src/jujubeyard/node/cluster_view.py
+++ b/src/jujubeyard/node/cluster_view.py
@@ -57,6 +57,7 @@
         self.is_configuration_outdated = lambda: False
         self._tables_changed = asyncio.Event()
         self._changed_at = float("-inf")
+        self._store_lost_at = time.monotonic()
         self.routes: match.RouteTable | None = None
         self.registry = registry.Registry()
         self.tables: dict[str, table.ShardTable] = {}
@@ -169,12 +170,17 @@
 
     def on_store_lost(self, failure: interface.Failure) -> None:
         """Handles the beginning of a store outage."""
+        self._store_lost_at = time.monotonic()
         self._log.log_event("store unreachable", detail=failure.detail)
 
     def on_store_recovered(self) -> None:
         """Handles the end of a store outage."""
-        self.registry.record_store_recovery(time.monotonic())
-        self._log.log_event("store reachable again")
+        now = time.monotonic()
+        outage_seconds = now - self._store_lost_at
+        self.registry.record_store_recovery(now, outage_seconds)
+        self._log.log_event(
+            "store reachable again", outage_seconds=round(outage_seconds, 3)
+        )
 
     def _decode_item(self, item: interface.Item) -> changes.Change:
         try:
--- a/src/jujubeyard/targets/registry.py
+++ b/src/jujubeyard/targets/registry.py
@@ -8,6 +8,10 @@
 """Time from the end of a store outage until targets whose listings expired
 during the outage are listed again."""
 
+MIN_OUTAGE_SECONDS = 1.5
+"""Shortest outage in which listings are taken to have expired. If only this
+node's calls to the store were late for a moment, those of targets were not."""
+
 UNLISTED_GRACE_SECONDS = 1.2
 """Longest time for which an unlisted target is used; less than a drain may
 take."""
@@ -96,9 +100,15 @@
         self._indexed_version = -1
         self._store_recovered_at = float("-inf")
 
-    def record_store_recovery(self, now: float) -> None:
-        """Records that the store is reachable again after an outage."""
-        self._store_recovered_at = now
+    def record_store_recovery(self, now: float, outage_seconds: float) -> None:
+        """Records that the store is reachable again after an outage.
+
+        Args:
+            now: End of the outage.
+            outage_seconds: How long the store was unreachable.
+        """
+        if outage_seconds >= MIN_OUTAGE_SECONDS:
+            self._store_recovered_at = now
 
     def put(
         self, listing: Listing, now: float, changed_at: float | None = None
--- a/tests/targets/test_registry.py
+++ b/tests/targets/test_registry.py
@@ -9,6 +9,7 @@
 from jujubeyard.targets import loads
 from jujubeyard.targets import registry
 
+OUTAGE_SECONDS = 5.0
 LISTING = registry.Listing("t1", "desk", "10.0.0.1:1", "z1", 6, False, 0.0, 7)
 
 
@@ -63,7 +64,7 @@
     recovered_at, age, is_available
 ):
     target_registry = _make_registry()
-    target_registry.record_store_recovery(recovered_at)
+    target_registry.record_store_recovery(recovered_at, OUTAGE_SECONDS)
     target_registry.remove("t1", 20.0)
     assert (
         target_registry.is_available(target_registry.targets["t1"], 20.0 + age)
@@ -71,16 +72,23 @@
     )
 
 
+def test_target_removed_while_a_busy_link_hid_the_store_is_unavailable():
+    target_registry = _make_registry()
+    target_registry.record_store_recovery(19.9, 0.8)
+    target_registry.remove("t1", 20.0)
+    assert not target_registry.is_available(target_registry.targets["t1"], 20.0)
+
+
 def test_targets_unlisted_without_an_outage_are_unavailable():
     target_registry = _make_registry()
-    target_registry.record_store_recovery(10.0)
+    target_registry.record_store_recovery(10.0, OUTAGE_SECONDS)
     target_registry.remove("t1", 20.0)
     assert not target_registry.is_available(target_registry.targets["t1"], 20.0)
 
 
 def test_a_target_that_is_listed_again_is_available():
     target_registry = _make_registry()
-    target_registry.record_store_recovery(19.9)
+    target_registry.record_store_recovery(19.9, OUTAGE_SECONDS)
     target_registry.remove("t1", 20.0)
     target_registry.put(LISTING, 21.0)
     assert target_registry.is_available(target_registry.targets["t1"], 30.0)
