Answer the calls that are left at the end of a shutdown

Cause: when the limit of a shutdown is over the process ends, whatever is in progress; its callers get a closed connection.

Change: calls in progress are then ended and answered 502, outcome unknown, 0.3 s before the limit at the latest.

Evidence: test_call_that_outlasts_the_shutdown_is_answered; there was nothing to call for it before. Not traced: why the reset was not noticed for 8 s (the call's send should have failed at once; dead peers are noticed in 3 s).

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -50,6 +50,9 @@
 not finish before the node exits."""
 
 EXIT_MARGIN_SECONDS = 0.5
+LAST_ANSWER_SECONDS = 0.2
+"""Time for sending the last answers within the margin before the exit."""
+
 SHUTDOWN_POLL_SECONDS = 0.05
 CLEANUP_INTERVAL_SECONDS = 5.0
 TASK_RESTART_SECONDS = 0.2
@@ -268,8 +271,8 @@
         """Finishes the calls in progress within the shutdown limit.
 
         Calls are still accepted until the balancer has noticed that the node
-        isn't ready, and are refused afterwards. Idle connections are closed
-        last.
+        isn't ready, and are refused afterwards. What is in progress at the end
+        of the limit is answered with an unknown outcome.
         """
         started_at = time.monotonic()
         self._is_shutting_down = True
@@ -288,8 +291,9 @@
         self._server.is_refusing_calls = True
         await self._wait_until_idle(stop_by)
         await self._server.stop_listening()
+        self._server.end_calls()
         self._server.close_idle_connections()
-        await self._wait_until_idle(stop_by)
+        await self._wait_until_idle(time.monotonic() + LAST_ANSWER_SECONDS)
 
     async def _wait_until_idle(self, deadline: float) -> None:
         while time.monotonic() < deadline and not self._server.is_idle():
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -1,5 +1,6 @@
 """HTTP servers for callers, readiness checks and metrics."""
 
+import asyncio
 import collections.abc
 import json
 import math
@@ -69,6 +70,7 @@
         self.is_shutting_down = False
         self.is_refusing_calls = False
         self._site: web.TCPSite | None = None
+        self._call_limits: set[asyncio.Timeout] = set()
         self._body_reader = bodies.BodyReader(
             MAX_BODY_BYTES, MAX_BUFFERED_BYTES
         )
@@ -135,7 +137,25 @@
             return self._make_response(
                 calls.make_error_reply(codes.ResultCode.BAD_REQUEST)
             )
-        return self._make_response(await self._handle_call(call))
+        return self._make_response(await self._serve_call(call))
+
+    async def _serve_call(self, call: calls.Call) -> calls.Reply:
+        """Returns the reply to a call, also if `end_calls` ends it before."""
+        limit = asyncio.timeout(None)
+        self._call_limits.add(limit)
+        try:
+            async with limit:
+                return await self._handle_call(call)
+        except TimeoutError:
+            return calls.make_error_reply(codes.ResultCode.OUTCOME_UNKNOWN)
+        finally:
+            self._call_limits.discard(limit)
+
+    def end_calls(self) -> None:
+        """Answers all calls in progress at once, with an unknown outcome."""
+        now = asyncio.get_running_loop().time()
+        for limit in self._call_limits:
+            limit.reschedule(now)
 
     def _refuse_body(self, code: codes.ResultCode) -> web.Response:
         """Returns the response to a request whose body isn't read whole."""
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -101,6 +101,20 @@
     assert not harness.calls
 
 
+async def test_call_that_outlasts_the_shutdown_is_answered(harness):
+    harness.delay_seconds = 10.0
+    reader, writer = await harness.connect()
+    writer.write(REQUEST)
+    await asyncio.sleep(0.05)
+    harness.server.is_shutting_down = True
+    harness.server.end_calls()
+    head, _ = await _read_answer(reader)
+    assert head.startswith(b"HTTP/1.1 502 ")
+    assert b"Connection: close" in head
+    assert harness.cancelled_calls == 1
+    writer.close()
+
+
 async def test_call_is_cancelled_when_caller_disconnects(harness):
     harness.delay_seconds = 5.0
     _, writer = await harness.connect()
