Estimate a call's own work by its route

Cause: a refused call's estimate is the target's mean work times the calls ahead plus itself. That mean is the busiest route's, 0.8 s and more; the added routes' calls take 3 ms and have about 1 s. They were refused at targets with free slots (running=4, waiting=0, slots=6, expected 0.824 s; 1.054 s at running=5): not because they had to wait, but because they were taken to be as much work.

Class: one figure for unlike things. Elsewhere: the choice of targets compares targets for the same call, so that the mean is right there.

Change: the estimate is the wait by the target's mean plus the work of the call's own route, by the node's own calls; nothing counts for a route that has none yet. The line of a refusal names that ratio and the time left.

Evidence: test_added_route_is_not_refused_for_the_work_of_other_routes (its case of an added route at a target with free slots fails with the ratio left out, the others hold both ways).

--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -98,6 +98,7 @@
             cfg.node, rate_limit
         )
         self.owner_lookup = owners.OwnerLookup(view, cfg.limits)
+        self._route_work = loads.RouteWork()
         self._rng = random.Random()
         self._router_headers = {
             header_names.deadline.lower(),
@@ -243,8 +244,11 @@
             state.latest_code = codes.ResultCode.TARGET_REFUSED
             state.retry_after = attempts.NO_TARGET_RETRY_SECONDS
             return False
+        relative_work = self._route_work.relative_work(
+            service.name, state.route.name, target.load.service_work.mean()
+        )
         expected_seconds = target.load.expected_seconds(
-            target.listing.slots, now
+            target.listing.slots, now, relative_work
         )
         objective = state.route.objective
         longest_objective = self._view.routes.longest_objectives.get(
@@ -267,6 +271,8 @@
                 service=service.name,
                 target=target.listing.target_id,
                 expected=round(expected_seconds, 3),
+                relative_work=round(relative_work, 3),
+                left=round(state.remaining_seconds(), 3),
                 objective=objective,
                 longest_objective=longest_objective,
                 report=repr(target.load.report),
@@ -409,6 +415,9 @@
             seconds: Time from sending the call to its answer, in seconds.
         """
         work_seconds = target.load.observe_success(seconds, state.queue_ratio)
+        self._route_work.observe(
+            state.service.name, state.route.name, work_seconds
+        )
         if state.is_keyed:
             meter = self._reporter.meter(state.service.name)
             meter.count_work(target.listing.target_id, work_seconds)
--- a/src/jujubeyard/targets/loads.py
+++ b/src/jujubeyard/targets/loads.py
@@ -20,6 +20,9 @@
 """Number of calls that the service's mean counts as when it is averaged with
 a target's own calls."""
 
+MAX_ROUTES = 10_000
+"""Largest number of routes whose work is kept."""
+
 FAILURE_SMOOTHING = 0.2
 INITIAL_WORK_SECONDS = 0.15
 
@@ -87,6 +90,45 @@
     return DecayingMean(SERVICE_DECAY)
 
 
+class RouteWork:
+    """Processing times of calls by service and route.
+
+    The calls of a service's routes may need very different times, of which the
+    service's mean is mostly that of its busiest route.
+    """
+
+    def __init__(self):
+        self._means: dict[tuple[str, str], DecayingMean] = {}
+
+    def observe(self, service: str, route: str, seconds: float) -> None:
+        """Adds the processing time of a call."""
+        key = (service, route)
+        mean = self._means.get(key)
+        if mean is None:
+            mean = self._means[key] = make_service_mean()
+            if len(self._means) > MAX_ROUTES:
+                del self._means[next(iter(self._means))]
+        mean.observe(seconds)
+
+    def relative_work(
+        self, service: str, route: str, service_mean: float
+    ) -> float:
+        """Returns the work of a route's calls, relative to the service's mean.
+
+        It is 0.0 for a route without observations: nothing shows then that its
+        calls need too long.
+
+        Args:
+            service: Name of the service.
+            route: Name of the route.
+            service_mean: Mean processing time of the service, in seconds.
+        """
+        mean = self._means.get((service, route))
+        if mean is None or not service_mean:
+            return 0.0
+        return mean.mean() / service_mean
+
+
 @dataclasses.dataclass(slots=True)
 class TargetLoad:
     """A node's estimate of one target's load.
@@ -188,9 +230,19 @@
         """
         return max(0.0, self.estimate_calls(now) + 1 - slots) / max(slots, 1)
 
-    def expected_seconds(self, slots: int, now: float) -> float:
-        """Returns the estimated duration of one more call, in seconds."""
-        return self.work_seconds() * (1.0 + self.queue_ratio(slots, now))
+    def expected_seconds(
+        self, slots: int, now: float, relative_work: float = 1.0
+    ) -> float:
+        """Returns the estimated duration of one more call, in seconds.
+
+        Args:
+            slots: Number of calls that the target runs at once.
+            now: Monotonic time, in seconds.
+            relative_work: Work of the call, relative to those before it.
+        """
+        return self.work_seconds() * (
+            relative_work + self.queue_ratio(slots, now)
+        )
 
     def work_seconds(self) -> float:
         """Returns the estimated processing time of a call, in seconds.
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -387,6 +387,23 @@
     assert (await harness.serve(route, key=5)).status == status
 
 
+@pytest.mark.parametrize(
+    ("route", "in_flight", "status"),
+    [("lookup", 0, 429), ("urgent", 5, 200), ("urgent", 12, 429)],
+)
+async def test_added_route_is_not_refused_for_the_work_of_other_routes(
+    harness, route, in_flight, status
+):
+    target = harness.add_target("t1", "desk")
+    harness.set_owner("t1")
+    for _ in range(30):
+        target.load.observe_success(1.2, 0.0)
+        harness.forwarder._route_work.observe("desk", "lookup", 1.2)
+    target.load.in_flight = in_flight
+    harness.client.script = [make_answer()]
+    assert (await harness.serve(route, key=5)).status == status
+
+
 async def test_calls_to_cold_target_are_rate_limited(harness):
     harness.add_target("t1", cold_seconds=3.0)
     harness.client.script = [make_answer()]
--- a/tests/targets/test_registry.py
+++ b/tests/targets/test_registry.py
@@ -186,3 +186,23 @@
             )
         )
     assert sum(highest[200:]) / len(highest[200:]) < 1.5 * mean
+
+
+def test_work_of_routes_is_relative_to_the_mean_of_their_service():
+    work = loads.RouteWork()
+    for seconds in (0.1, 0.3):
+        work.observe("desk", "lookup", seconds)
+    assert work.relative_work("desk", "lookup", 0.4) == pytest.approx(
+        0.5, rel=0.01
+    )
+    assert work.relative_work("desk", "added", 0.4) == 0.0
+    assert work.relative_work("book", "lookup", 0.4) == 0.0
+
+
+def test_work_of_routes_that_are_long_gone_is_dropped(monkeypatch):
+    monkeypatch.setattr(loads, "MAX_ROUTES", 2)
+    work = loads.RouteWork()
+    for route in ("first", "second", "third"):
+        work.observe("desk", route, 0.4)
+    assert work.relative_work("desk", "first", 0.4) == 0.0
+    assert work.relative_work("desk", "third", 0.4) == 1.0
