Keep a call to the store whose answer is late open beside the next one

Callers: calls may reach a target over 2.5 s after it was removed (DRAIN), or be handled by an old version (CONFIG), on a node whose link has a long queue.

Cause: a watch was given up when a renewal was late, when the availability of the store changed, or when a beacon named more, 0.6 s after it was sent. Its answer was in the queue of the link. The next watch needs a new connection and waits for the queue twice; it was given up as well (after 0.60 and 0.33 s). With a queue of 0.4 s this goes on without end. Reads of all items had 0.5 s until their first byte, with the same end.

Ruled out: the store (82 other nodes knew within 0.6 s), the transfer (few bytes).

Elsewhere: renewals and writes are small and can't be hedged (a write may be applied twice); a lost renewal only counts as an outage from 1.5 s on. Tables are read again after 0.5 s, and also come by datagram.

Change: store/hedging.py sends another attempt beside the open ones, four at most, none while an answer arrives; the first answer decides. Attempts wait 3 s. `watch abandoned` is `watch repeated` now.

Evidence: test_change_is_known_in_time_on_a_link_with_a_long_queue, on the old code 4 of 6 failed (queues of 0.4 and 0.7 s, one and three changes: not known within 2.5 s), now 6 pass. Two tests of hanging watches ran a second watch to see the change, as the first one was given up; now the first one must bring it, which is stricter.

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -40,7 +40,7 @@
 PROGRAM = "jujubeyard-node"
 GC_THRESHOLD = 20_000
 STORE_CALL_TIMEOUT_SECONDS = 0.5
-WATCH_SLACK_SECONDS = 0.6
+STORE_READ_TIMEOUT_SECONDS = 3.0
 READINESS_NOTICE_SECONDS = 2.3
 """Time within which the balancer stops sending callers to a node that isn't
 ready."""
@@ -162,7 +162,7 @@
             str(cfg.store),
             self._store_session,
             STORE_CALL_TIMEOUT_SECONDS,
-            WATCH_SLACK_SECONDS,
+            STORE_READ_TIMEOUT_SECONDS,
         )
         self._leadership = leader.Leadership(
             self._store, prefixes.fleet, str(cfg.reports), log
--- a/src/jujubeyard/platform/store.py
+++ b/src/jujubeyard/platform/store.py
@@ -52,7 +52,7 @@
         address: str,
         session: aiohttp.ClientSession,
         call_seconds: float,
-        watch_slack_seconds: float,
+        read_seconds: float,
     ):
         """Initializes the client.
 
@@ -60,13 +60,13 @@
             address: Address of the store as "IP:PORT".
             session: HTTP session for all calls.
             call_seconds: Time until the answer to a call begins to arrive.
-            watch_slack_seconds: Time added to the duration of a watch to get
-                the time until its answer begins to arrive.
+            read_seconds: That time for reads of all items, and for watches
+                once their duration is over.
         """
         self._base = f"http://{address}"
         self._session = session
         self._call_seconds = call_seconds
-        self._watch_slack_seconds = watch_slack_seconds
+        self._read_seconds = read_seconds
 
     async def read_all(
         self, prefix: str, transfer: interface.Transfer | None = None
@@ -86,6 +86,7 @@
                 "GET",
                 "/kv-range",
                 query=query,
+                timeout=self._read_seconds,
                 transfer=transfer,
                 max_bytes=min(
                     MAX_ANSWER_BYTES, MAX_READ_BYTES - transfer.received_bytes
@@ -129,7 +130,7 @@
             "after": str(after),
             "waitMs": str(wait_ms),
         }
-        timeout = seconds + self._watch_slack_seconds
+        timeout = seconds + self._read_seconds
         outcome = await self._call(
             "GET",
             "/kv-watch",
@@ -201,14 +202,15 @@
         transfer: interface.Transfer | None = None,
         max_bytes: int = MAX_ANSWER_BYTES,
     ) -> result.Result[dict, interface.Failure]:
+        timeout = timeout or self._call_seconds
         client_timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=self._call_seconds
+            total=None, sock_connect=min(timeout, self._read_seconds)
         )
         body = None if document is None else json.dumps(document).encode()
         headers = {"Content-Type": "application/json"} if body else {}
         try:
             async with (
-                asyncio.timeout(timeout or self._call_seconds) as limit,
+                asyncio.timeout(timeout) as limit,
                 self._session.request(
                     method,
                     self._base + path,
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import random
 import time
 import typing
 
 from jujubeyard.store import health
+from jujubeyard.store import hedging
 from jujubeyard.store import interface
 
 WATCH_SECONDS = 20.0
@@ -23,7 +23,10 @@
 
 REPLY_SECONDS = 0.6
 """Time that the reply to a watch may need on a busy link, if there are changes
-already. A younger watch isn't abandoned because changes are known elsewhere."""
+already. A younger watch isn't repeated because changes are known elsewhere."""
+
+OVERDUE_SECONDS = 0.6
+"""Time after which an answer that the store doesn't hold back is late."""
 
 REPLY_SPREAD_SECONDS = 0.3
 """Time between the first and the last node that begins to receive a change: the
@@ -37,13 +40,6 @@
 """Size from which on the transfer of an answer is logged."""
 
 
-READ_ALL_KINDS = frozenset(
-    {interface.FailureKind.COMPACTED, interface.FailureKind.TOO_LARGE}
-)
-"""Failures of a watch after which all items are read. A watch whose answer is
-too large would bring several versions of an item; a read brings the latest."""
-
-
 class Listener(typing.Protocol):
     """Receiver of the items that a mirror reads."""
 
@@ -168,105 +164,127 @@
                 await self._watch_once()
 
     async def _read_all(self) -> None:
-        started_at = time.monotonic()
-        transfer = interface.Transfer()
-        outcome = await self._store.read_all(self.prefix, transfer)
-        if outcome.is_err():
-            detail = outcome.err_value.detail
-            self._log_call("store read failed", started_at, transfer, detail)
-            await self._handle_failure(outcome.err_value)
+        attempt = await hedging.run(
+            self._send_read, self._wait_until_overdue, self._handle_late_failure
+        )
+        if attempt.outcome.is_err():
+            self._log_failure("store read failed", attempt)
+            await self._handle_failure(attempt.outcome.err_value)
             return
-        self._log_large_answer(started_at, transfer)
+        self._log_large_answer(attempt)
         self._record_success()
-        items = outcome.ok_value.items
+        items = attempt.outcome.ok_value.items
         age = time.monotonic() - self._current_at
-        self._current_at = started_at
+        self._current_at = attempt.started_at
         self._listener.apply_snapshot(self.prefix, items, age)
-        self.revision = outcome.ok_value.revision
+        self.revision = attempt.outcome.ok_value.revision
         self._update_latest_revision(items)
 
+    def _send_read(self, is_first: bool) -> hedging.Attempt:
+        """Sends a call that reads all items."""
+        attempt = hedging.Attempt(0.0, is_first)
+        attempt.task = asyncio.ensure_future(
+            self._store.read_all(self.prefix, attempt.transfer)
+        )
+        return attempt
+
     async def _watch_once(self) -> None:
-        started_at = time.monotonic()
-        transfer = interface.Transfer()
-        outcome = await self._watch(transfer)
-        if outcome is None:
-            reason = "another node knows more"
-            if not self._behind.is_set():
-                reason = "the availability of the store has changed"
-            self._log_call("watch abandoned", started_at, transfer, reason)
-            self._is_next_watch_short = True
-            return
-        if outcome.is_err():
-            detail = outcome.err_value.detail
-            self._log_call("watch failed", started_at, transfer, detail)
-            if outcome.err_value.kind in READ_ALL_KINDS:
+        attempt = await hedging.run(
+            self._send_watch,
+            self._wait_until_doubtful,
+            self._handle_late_failure,
+        )
+        if attempt.outcome.is_err():
+            self._log_failure("watch failed", attempt)
+            if attempt.outcome.err_value.kind in hedging.CONCLUSIVE_FAILURES:
                 self.revision = None
                 return
-            await self._handle_failure(outcome.err_value)
+            await self._handle_failure(attempt.outcome.err_value)
             return
-        self._log_large_answer(started_at, transfer)
+        self._log_large_answer(attempt)
         self._record_success()
-        items = outcome.ok_value.items
-        self.revision = max(self.revision, outcome.ok_value.revision)
-        age = self._measure_age(transfer)
+        items = attempt.outcome.ok_value.items
+        self.revision = max(self.revision, attempt.outcome.ok_value.revision)
+        age = self._measure_age(attempt.transfer)
         if items:
             self._listener.apply_changes(items, age)
             self._update_latest_revision(items)
-            await asyncio.sleep(self._measure_pause(transfer))
+            await asyncio.sleep(self._measure_pause(attempt.transfer))
 
-    async def _watch(self, transfer: interface.Transfer):
-        """Runs one watch; returns its outcome, or None if it was abandoned.
+    def _send_watch(self, is_first: bool) -> hedging.Attempt:
+        """Sends a call that waits for changes.
 
-        A watch is abandoned if the availability of the store changes or
-        another node reports a newer revision, because it may never get a
-        reply. One whose reply may be on its way, or has begun to arrive, is
-        awaited: another watch would ask for the same changes again.
+        It is short after a failure, or if the answer to another one is late.
         """
         seconds = WATCH_SECONDS
-        if self._is_next_watch_short or not self._health.is_available:
-            seconds = SHORT_WATCH_SECONDS
-        elif self.is_low_latency:
+        if self.is_low_latency:
             seconds = LOW_LATENCY_WATCH_SECONDS
+        is_usual = is_first and not self._is_next_watch_short
+        if not is_usual or not self._health.is_available:
+            seconds = SHORT_WATCH_SECONDS
         self._behind.clear()
-        watch = asyncio.ensure_future(
-            self._store.watch(self.prefix, self.revision, seconds, transfer)
+        attempt = hedging.Attempt(seconds, is_first)
+        attempt.task = asyncio.ensure_future(
+            self._store.watch(
+                self.prefix, self.revision, seconds, attempt.transfer
+            )
+        )
+        return attempt
+
+    async def _wait_until_doubtful(self, attempt: hedging.Attempt) -> None:
+        """Waits until a watch may never be answered, and logs why.
+
+        A watch that was started while the store was unavailable never gets an
+        answer, and is doubtful as soon as the store is available. One that was
+        started before is doubtful if the store becomes unavailable, or if
+        another node has changes that this one should have. A short one soon
+        ends by itself.
+        """
+        reasons = {self._wait_until_overdue(attempt): "the answer is late"}
+        if not self._health.is_available:
+            reasons[self._health.wait_available()] = "the store is available"
+        elif attempt.seconds > SHORT_WATCH_SECONDS:
+            reasons[self._wait_unavailable()] = "the store is unavailable"
+            reasons[self._wait_behind()] = "another node knows more"
+        detail = await _wait_for_first(reasons)
+        if not attempt.transfer.is_arriving:
+            self._log_call("watch repeated", attempt, detail)
+
+    async def _wait_until_overdue(self, attempt: hedging.Attempt) -> None:
+        """Waits until an answer is late, which counts as a failure.
+
+        After the failure it waits for the store to recover.
+        """
+        await asyncio.sleep(attempt.seconds + OVERDUE_SECONDS)
+        while attempt.transfer.is_arriving:
+            await asyncio.sleep(OVERDUE_SECONDS)
+        await self._handle_failure(
+            interface.Failure(
+                interface.FailureKind.UNKNOWN, f"no answer for {self.prefix}"
+            )
+        )
+
+    async def _wait_unavailable(self) -> None:
+        """Waits until the store is unavailable and answers are late."""
+        await asyncio.gather(
+            self._health.wait_unavailable(), asyncio.sleep(REPLY_SECONDS)
         )
-        if self._health.is_available and self._is_next_watch_short:
-            # A short watch soon ends by itself.
-            return await watch
-        interrupts = [
-            asyncio.ensure_future(self._wait_health_change()),
-            asyncio.gather(self._wait_behind(), asyncio.sleep(REPLY_SECONDS)),
-        ]
-        tasks = [watch, *interrupts]
-        try:
-            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            if watch.done() or transfer.is_arriving:
-                return await watch
-            return None
-        finally:
-            for task in tasks:
-                task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _wait_behind(self) -> None:
         """Waits until another node has changes that this one should have."""
+        await asyncio.gather(
+            self._wait_known_elsewhere(), asyncio.sleep(REPLY_SECONDS)
+        )
+
+    async def _wait_known_elsewhere(self) -> None:
         await self._behind.wait()
         await asyncio.sleep(REPLY_SPREAD_SECONDS)
 
-    async def _wait_health_change(self) -> None:
-        """Waits until a watch has to be abandoned for the store's availability.
-
-        A watch that was started while the store was unavailable never gets a
-        reply, and is abandoned as soon as the store is available.
-        """
-        if self._health.is_available:
-            await asyncio.gather(
-                self._health.wait_unavailable(), asyncio.sleep(REPLY_SECONDS)
-            )
-        else:
-            await self._health.wait_available()
+    def _handle_late_failure(self, attempt: hedging.Attempt) -> None:
+        """Handles the failure of an attempt while others are awaited."""
+        self._log_failure("watch failed", attempt)
+        self._is_next_watch_short = True
+        self._health.record_failure(attempt.outcome.err_value)
 
     def _measure_pause(self, transfer: interface.Transfer) -> float:
         """Returns the pause before the next watch, in seconds.
@@ -295,29 +313,26 @@
         self._current_at = transfer.first_byte_at or now
         return age
 
-    def _log_large_answer(
-        self, started_at: float, transfer: interface.Transfer
-    ) -> None:
-        if transfer.received_bytes > LARGE_ANSWER_BYTES:
-            self._log_call("large answer of the store", started_at, transfer)
+    def _log_large_answer(self, attempt: hedging.Attempt) -> None:
+        if attempt.transfer.received_bytes > LARGE_ANSWER_BYTES:
+            self._log_call("large answer of the store", attempt, "")
+
+    def _log_failure(self, event: str, attempt: hedging.Attempt) -> None:
+        self._log_call(event, attempt, attempt.outcome.err_value.detail)
 
     def _log_call(
-        self,
-        event: str,
-        started_at: float,
-        transfer: interface.Transfer,
-        detail: str = "",
+        self, event: str, attempt: hedging.Attempt, detail: str
     ) -> None:
         """Logs a call, with how much of its answer arrived in which time."""
         now = time.monotonic()
-        first_byte_at = transfer.first_byte_at or now
+        first_byte_at = attempt.transfer.first_byte_at or now
         self._log.log_event(
             event,
             prefix=self.prefix,
             after=self.revision,
-            seconds=round(now - started_at, 3),
+            seconds=round(now - attempt.started_at, 3),
             arriving_seconds=round(now - first_byte_at, 3),
-            bytes=transfer.received_bytes,
+            bytes=attempt.transfer.received_bytes,
             detail=detail,
         )
 
@@ -336,3 +351,20 @@
         self._health.record_failure(failure)
         await asyncio.sleep(random.uniform(0.0, RETRY_JITTER_SECONDS))
         await self._health.wait_available_for(RETRY_SECONDS)
+
+
+async def _wait_for_first(
+    reasons: dict[collections.abc.Coroutine[None, None, None], str],
+) -> str:
+    """Waits until one of several coroutines ends, and returns its reason."""
+    tasks = {
+        asyncio.ensure_future(coroutine): reason
+        for coroutine, reason in reasons.items()
+    }
+    try:
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        return tasks[done.pop()]
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -130,7 +130,7 @@
 
 
 @pytest.mark.parametrize("trigger", ["store lost", "others know more"])
-async def test_hanging_watch_is_restarted(monkeypatch, trigger):
+async def test_hanging_watch_is_repeated(monkeypatch, trigger):
     monkeypatch.setattr(mirror, "REPLY_SECONDS", 0.05)
     listener = RecordingListener()
     store_mirror = _make_mirror(
@@ -145,13 +145,12 @@
         store_mirror.wake_if_behind(12)
     async with asyncio.timeout(0.5):
         await watch
-        await store_mirror._watch_once()
     assert ("changes", ["b"]) in listener.calls
     assert store_mirror.latest_revision == 12
 
 
 @pytest.mark.parametrize("trigger", ["store lost", "others know more"])
-async def test_watch_is_not_abandoned_while_its_answer_arrives(trigger):
+async def test_watch_is_not_repeated_while_its_answer_arrives(trigger):
     listener = RecordingListener()
     store = ScriptedStore(_changed(12, "b"))
     store.arriving_seconds = 0.1
@@ -168,7 +167,7 @@
     assert len(store.durations) == 1
 
 
-async def test_known_revision_does_not_restart_watch():
+async def test_known_revision_does_not_repeat_watch():
     store_mirror = _make_mirror(
         ScriptedStore(_never_reply), RecordingListener()
     )
@@ -194,7 +193,7 @@
     ]
 
 
-async def test_watch_started_during_outage_is_restarted_on_recovery():
+async def test_watch_started_during_outage_is_repeated_on_recovery():
     listener = RecordingListener()
     store_mirror = _make_mirror(
         ScriptedStore(UNKNOWN, _never_reply, _changed(12, "b")), listener
@@ -206,7 +205,6 @@
     store_mirror._health.record_success()
     async with asyncio.timeout(0.3):
         await watch
-        await store_mirror._watch_once()
     assert ("changes", ["b"]) in listener.calls
 
 
@@ -254,7 +252,7 @@
 
 
 @pytest.mark.parametrize("trigger", ["store lost", "others know more"])
-async def test_watch_whose_reply_may_be_on_its_way_is_not_abandoned(trigger):
+async def test_watch_whose_reply_may_be_on_its_way_is_not_repeated(trigger):
     async def answer():
         await asyncio.sleep(0.2)
         return _changed(12, "b")
@@ -275,7 +273,7 @@
     assert len(store.durations) == 1
 
 
-async def test_watch_is_not_abandoned_when_another_node_is_a_moment_ahead(
+async def test_watch_is_not_repeated_when_another_node_is_a_moment_ahead(
     monkeypatch,
 ):
     monkeypatch.setattr(mirror, "REPLY_SECONDS", 0.05)
--- a/tests/store/test_slow_link.py
+++ b/tests/store/test_slow_link.py
@@ -7,6 +7,8 @@
 import pytest
 
 from jujubeyard import connections
+from jujubeyard.node import core
+from jujubeyard.node import tasks
 from jujubeyard.platform import headers
 from jujubeyard.platform import store
 from jujubeyard.store import health
@@ -20,6 +22,7 @@
 BEACON_SECONDS = 0.4
 IN_FORCE_SECONDS = 2.5
 SETTLE_SECONDS = 0.3
+CHOKED_SECONDS = 2.0
 
 
 class VersionListener:
@@ -51,6 +54,24 @@
     await runner.cleanup()
 
 
+def _make_node(address, session, listener):
+    """Returns a mirror, and a registration that shares its health."""
+    kv_client = store.PlatformStore(
+        address,
+        session,
+        core.STORE_CALL_TIMEOUT_SECONDS,
+        core.STORE_READ_TIMEOUT_SECONDS,
+    )
+    store_health = health.Health(lambda _: None, lambda: None)
+    log = fakes.RecordingJournal()
+    return (
+        mirror.Mirror(kv_client, "op/", listener, store_health, 0.4, log),
+        tasks.NodeRegistration(
+            kv_client, "fleet/nodes/n1", "n1", store_health, log
+        ),
+    )
+
+
 async def _send_beacons(store_mirror, kv_store) -> None:
     while True:
         store_mirror.wake_if_behind(kv_store._revision)
@@ -93,3 +114,34 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await session.close()
+
+
+@pytest.mark.parametrize("queue_seconds", [0.2, 0.4, 0.7])
+@pytest.mark.parametrize("changes", [1, 3])
+async def test_change_is_known_in_time_on_a_link_with_a_long_queue(
+    standin, queue_seconds, changes
+):
+    kv_store, link, address = standin
+    kv_store.put("op/config", b"00")
+    session = connections.make_session(headers.NAMES.call_id, force_close=False)
+    listener = VersionListener()
+    store_mirror, registration = _make_node(address, session, listener)
+    running = [
+        asyncio.create_task(store_mirror.run()),
+        asyncio.create_task(registration.run()),
+    ]
+    await asyncio.sleep(SETTLE_SECONDS)
+    running.append(asyncio.create_task(_send_beacons(store_mirror, kv_store)))
+    link.delay_seconds = queue_seconds
+    await asyncio.sleep(CHOKED_SECONDS)
+    try:
+        for change in range(1, changes + 1):
+            kv_store.put("op/config", f"{change:02}".encode())
+            async with asyncio.timeout(IN_FORCE_SECONDS):
+                while listener.values[-1] != f"{change:02}".encode():
+                    await asyncio.sleep(0.02)
+    finally:
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        await session.close()
