--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import random
 import time
 import typing
@@ -36,6 +37,8 @@
 """Longest wait for the store to recover before the next attempt."""
 
 RETRY_JITTER_SECONDS = 0.15
+READ_FAILED = "store read failed"
+WATCH_FAILED = "watch failed"
 LARGE_ANSWER_BYTES = 65536
 """Size from which on the transfer of an answer is logged."""
 
@@ -132,7 +135,7 @@
         self.latest_revision = 0
 
     def wake_if_behind(self, revision: int) -> None:
-        """Restarts the watch if another node has seen a newer revision.
+        """Repeats the watch if another node has seen a newer revision.
 
         If the other node has seen just what this one has, the items were
         current when it said so.
@@ -165,10 +168,12 @@
 
     async def _read_all(self) -> None:
         attempt = await hedging.run(
-            self._send_read, self._wait_until_overdue, self._handle_late_failure
+            self._send_read,
+            self._wait_until_overdue,
+            functools.partial(self._record_failure, READ_FAILED),
         )
         if attempt.outcome.is_err():
-            self._log_failure("store read failed", attempt)
+            self._log_failure(READ_FAILED, attempt)
             await self._handle_failure(attempt.outcome.err_value)
             return
         self._log_large_answer(attempt)
@@ -192,10 +197,10 @@
         attempt = await hedging.run(
             self._send_watch,
             self._wait_until_doubtful,
-            self._handle_late_failure,
+            functools.partial(self._record_failure, WATCH_FAILED),
         )
         if attempt.outcome.is_err():
-            self._log_failure("watch failed", attempt)
+            self._log_failure(WATCH_FAILED, attempt)
             if attempt.outcome.err_value.kind in hedging.CONCLUSIVE_FAILURES:
                 self.revision = None
                 return
@@ -280,9 +285,9 @@
         await self._behind.wait()
         await asyncio.sleep(REPLY_SPREAD_SECONDS)
 
-    def _handle_late_failure(self, attempt: hedging.Attempt) -> None:
-        """Handles the failure of an attempt while others are awaited."""
-        self._log_failure("watch failed", attempt)
+    def _record_failure(self, event: str, attempt: hedging.Attempt) -> None:
+        """Records the failure of an attempt while others are awaited."""
+        self._log_failure(event, attempt)
         self._is_next_watch_short = True
         self._health.record_failure(attempt.outcome.err_value)
 
