Date the last proof that a target was listed by when it was sent

Callers: calls for the keys of a removed target may reach it too late (DRAIN) on a node whose link has a long queue, though the node knows of the removal.

Cause: such a target is used for 0.6 of the limit from the last proof that it was listed, an answer or a beacon, which counted from its arrival. It was sent a queue's length before; the removal may lie between. With a queue of 0.4 s and a call that waits in the queue to the target as long, 1.5 s become 2.3 s of 2.5 s.

Elsewhere: leases count from the sending of the request; load reports of targets have a half-life of 0.4 s, an error there costs a worse choice only.

Change: the proof is dated back by the time of the latest renewal of the node's lease, which the store answers at once (0.5 s if it was given up).

Evidence: three cases in tests/store/test_mirror.py fail on the code before ('beacon queued on the way', 'answer newer than beacon', 'a queued answer') and pass; tests/node/test_registration.py has the measurement. On a link without a queue the time is some milliseconds, and nothing changes.

--- a/src/jujubeyard/node/tasks.py
+++ b/src/jujubeyard/node/tasks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import time
 
 import result
 
@@ -57,8 +58,7 @@
                     pause if is_registered else REGISTER_RETRY_SECONDS
                 )
                 continue
-            outcome = await self._store.renew_lease(self._lease)
-            self._record(outcome)
+            outcome = await self._renew()
             if outcome.is_ok():
                 await asyncio.sleep(LEASE_RENEW_SECONDS)
             elif outcome.err_value.kind is interface.FailureKind.NO_LEASE:
@@ -75,6 +75,13 @@
             lease, self._lease = self._lease, 0
             await self._store.end_lease(lease)
 
+    async def _renew(self) -> result.Result[None, interface.Failure]:
+        started_at = time.monotonic()
+        outcome = await self._store.renew_lease(self._lease)
+        self._health.round_trip_seconds = time.monotonic() - started_at
+        self._record(outcome)
+        return outcome
+
     async def _register(self) -> bool:
         lease = await self._store.open_lease(REGISTRATION_LEASE_SECONDS)
         self._record(lease)
--- a/src/jujubeyard/store/health.py
+++ b/src/jujubeyard/store/health.py
@@ -11,6 +11,8 @@
 
     Attributes:
         is_available: Whether the latest completed call succeeded.
+        round_trip_seconds: How long the latest call took that the store answers
+            at once; the time until it was given up if it wasn't answered.
     """
 
     def __init__(
@@ -30,6 +32,7 @@
         self._unavailable = asyncio.Event()
         self._available = asyncio.Event()
         self.is_available = False
+        self.round_trip_seconds = 0.0
 
     def record_failure(self, failure: interface.Failure) -> None:
         """Records that a call was refused or got no response."""
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -149,7 +149,7 @@
         if self.is_behind():
             self._behind.set()
         elif revision >= self.latest_revision:
-            self._current_at = time.monotonic()
+            self._record_current(time.monotonic())
 
     def is_behind(self) -> bool:
         """Returns whether items may be newer than those that were delivered.
@@ -315,9 +315,18 @@
         """
         now = time.monotonic()
         age = now - self._current_at
-        self._current_at = transfer.first_byte_at or now
+        self._record_current(transfer.first_byte_at or now)
         return age
 
+    def _record_current(self, received_at: float) -> None:
+        """Records that the items are known to be current.
+
+        What was received says how they were when it was sent, which on a busy
+        link may be as long ago as a round trip takes.
+        """
+        sent_at = received_at - self._health.round_trip_seconds
+        self._current_at = max(self._current_at, sent_at)
+
     def _log_large_answer(self, attempt: hedging.Attempt) -> None:
         if attempt.transfer.received_bytes > LARGE_ANSWER_BYTES:
             self._log_call("large answer of the store", attempt, "")
--- a/tests/node/test_registration.py
+++ b/tests/node/test_registration.py
@@ -65,3 +65,25 @@
     await asyncio.sleep(0.05)
     run.cancel()
     assert store_health.is_available is is_available
+
+
+@pytest.mark.parametrize("renewal", [OK, UNKNOWN])
+async def test_time_of_a_renewal_tells_how_late_answers_are(renewal):
+    class SlowStore(ScriptedStore):
+        async def renew_lease(self, _):
+            await asyncio.sleep(0.1)
+            return renewal
+
+    store_health = health.Health(lambda _: None, lambda: None)
+    registration = tasks.NodeRegistration(
+        SlowStore(result.Ok(7), result.Ok(2)),
+        "k",
+        "n1",
+        store_health,
+        fakes.RecordingJournal(),
+    )
+    await registration._register()
+    run = asyncio.create_task(registration.run())
+    await asyncio.sleep(0.2)
+    run.cancel()
+    assert store_health.round_trip_seconds == pytest.approx(0.1, abs=0.04)
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -209,17 +209,19 @@
 
 
 @pytest.mark.parametrize(
-    ("wait_seconds", "beacons", "age_seconds"),
+    ("wait_seconds", "beacons", "round_trip", "age_seconds"),
     [
-        pytest.param(0.0, {}, 0.0, id="at once"),
-        pytest.param(0.3, {}, 0.3, id="without beacons"),
-        pytest.param(0.3, {0.2: 1}, 0.1, id="known to be current before"),
-        pytest.param(0.3, {0.1: 1, 0.2: 12}, 0.2, id="known to be late"),
-        pytest.param(0.3, {0.1: 1, 0.2: 0}, 0.2, id="beacon that is behind"),
+        pytest.param(0.0, {}, 0.0, 0.0, id="at once"),
+        pytest.param(0.3, {}, 0.0, 0.3, id="without beacons"),
+        pytest.param(0.3, {0.2: 1}, 0.0, 0.1, id="known to be current before"),
+        pytest.param(0.3, {0.1: 1, 0.2: 12}, 0.0, 0.2, id="known to be late"),
+        pytest.param(0.3, {0.1: 1, 0.2: 0}, 0.0, 0.2, id="beacon behind"),
+        pytest.param(0.3, {0.2: 1}, 0.15, 0.25, id="beacon queued on the way"),
+        pytest.param(0.3, {0.2: 1}, 0.5, 0.3, id="answer newer than beacon"),
     ],
 )
 async def test_changes_are_as_old_as_the_last_proof_of_being_current(
-    wait_seconds, beacons, age_seconds
+    wait_seconds, beacons, round_trip, age_seconds
 ):
     async def answer():
         await asyncio.sleep(wait_seconds)
@@ -228,6 +230,7 @@
     listener = RecordingListener()
     store_mirror = _make_mirror(ScriptedStore(answer), listener)
     await store_mirror._read_all()
+    store_mirror._health.round_trip_seconds = round_trip
     loop = asyncio.get_running_loop()
     for seconds, revision in beacons.items():
         loop.call_later(seconds, store_mirror.wake_if_behind, revision)
@@ -309,3 +312,20 @@
     await store_mirror._watch_once()
     seconds = time.monotonic() - started_at
     assert seconds == pytest.approx(arriving_seconds + pause_seconds, abs=0.05)
+
+
+async def test_change_after_a_queued_answer_is_as_old_as_that_answer():
+    async def answer():
+        await asyncio.sleep(0.1)
+        return _changed(13, "b")
+
+    listener = RecordingListener()
+    store_mirror = _make_mirror(
+        ScriptedStore(_changed(12, "b"), answer), listener
+    )
+    await store_mirror._read_all()
+    await asyncio.sleep(0.3)
+    store_mirror._health.round_trip_seconds = 0.2
+    await store_mirror._watch_once()
+    await store_mirror._watch_once()
+    assert listener.ages[2] == pytest.approx(0.3, abs=0.04)
