Bound the framing of what a client connection receives for a call

Callers: a target that sends a body in chunks of one byte, without end, holds up all calls of the node that reads it: 28 MB in 10 s at a full core (a script against the node's client), 2 us a chunk, up to 16 MiB or the call's deadline.

Cause: the limits count bytes of the body, and of all that is received; six bytes on the wire carry one of the body, each parsed alone.

Class: bytes without end (the users' report). Tried beside it, on the same client: headers without a value, distinct headers, trailers, interim answers with headers: each ends within 64 ms and 2 MB. On the callers' server: heads, trailers, request lines, pipelined requests that are answered and not read: bounded; empty lines and chunk extensions cost time, no memory, until the deadline.

Change: beside bodies, 1 MiB may be received for a call.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -21,6 +21,10 @@
 MAX_BYTES_PER_CALL = 16 * bodies.MIB
 """Largest size of all that is received for a call, framing included."""
 
+MAX_FRAMING_BYTES_PER_CALL = bodies.MIB
+"""Largest size of what is received for a call beside bodies. Chunks of one byte
+each need far more processor time than a body of the same size."""
+
 KEEPALIVE_TIMEOUT_SECONDS = 4.0
 TCP_USER_TIMEOUT_MS = 2000
 """How long sent data may stay unacknowledged by the peer's kernel before the
@@ -50,6 +54,7 @@
         self._is_answered = False
         self._message_count = 0
         self._received_bytes = 0
+        self._payloads: list[aiohttp.StreamReader] = []
         self.was_reset = False
 
     def begin_call(self) -> None:
@@ -57,6 +62,7 @@
         self._is_answered = False
         self._message_count = 0
         self._received_bytes = 0
+        self._payloads = []
 
     def set_expected_call(self, call_id: str | None) -> None:
         """Sets the ID of the call whose answer is read next."""
@@ -84,6 +90,7 @@
         """
         while True:
             message, payload = await super().read()
+            self._payloads.append(payload)
             self._message_count += 1
             if self._message_count > MAX_MESSAGES_PER_CALL:
                 self._is_out_of_sync = True
@@ -110,6 +117,14 @@
         super().data_received(data)
         if len(self) > MAX_MESSAGES_PER_CALL:
             self._reset("too many answers")
+        elif self._framing_bytes() > MAX_FRAMING_BYTES_PER_CALL:
+            self._reset("too many bytes of framing")
+
+    def _framing_bytes(self) -> int:
+        """Returns the size of what was received beside bodies."""
+        return self._received_bytes - sum(
+            payload.total_bytes for payload in self._payloads
+        )
 
     def _reset(self, reason: str) -> None:
         """Fails the call, whose answer isn't read any further."""
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -169,6 +169,9 @@
         pytest.param(CHUNKED_HEAD, b"0" * 65536, id="chunk size"),
         pytest.param(CHUNKED_HEAD + b"5;a=", BLOCK, id="chunk extension"),
         pytest.param(CHUNKED_HEAD + b"0\r\n", b"A: b\r\n" * 9999, id="trailer"),
+        pytest.param(
+            CHUNKED_HEAD, b"1\r\nx\r\n" * 9999, id="chunks of one byte"
+        ),
     ],
 )
 async def test_endless_bytes_of_a_target_do_not_exhaust_memory(
