Select targets in a module of their own

What decides which target a call goes to, or that none admits it, is selection.py now; moved only, with the counting of calls to cold targets and of routes' work.

--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -1,7 +1,6 @@
-"""Forwards calls: matches routes, selects targets, retries, and replies."""
+"""Forwards calls: matches routes, sends them to targets, retries, replies."""
 
 import collections.abc
-import random
 import time
 
 from jujubeyard import codes
@@ -14,11 +13,10 @@
 from jujubeyard.node import owners
 from jujubeyard.node import protocol
 from jujubeyard.node import reporting
+from jujubeyard.node import selection
 from jujubeyard.node import settings
 from jujubeyard.node import upstream
 from jujubeyard.routing import admission
-from jujubeyard.routing import balancing
-from jujubeyard.routing import coldstart
 from jujubeyard.routing import retries
 from jujubeyard.routing import split
 from jujubeyard.targets import loads
@@ -41,7 +39,6 @@
 
 MISDIRECTED_STATUS = 421
 NOT_CONFIGURED_RETRY_SECONDS = 0.5
-COLD_RETRY_SECONDS = 0.5
 REFUSED_AVOID_SECONDS = 0.15
 BROKEN_AVOID_SECONDS = 0.5
 UNREACHABLE_AVOID_SECONDS = 1.0
@@ -79,7 +76,6 @@
             log: Log of replies, failed attempts and refused calls.
             reporter: Counts keyed calls for the reports to the leader.
         """
-        self._cfg = cfg
         self._reporter = reporter
         self._view = view
         self._client = client
@@ -91,15 +87,10 @@
         self._retry_budget = retries.RetryBudget(
             cfg.limits.retry_ratio, cfg.limits.retry_allowance
         )
-        rate_limit = coldstart.ColdRateLimit(
-            cfg.limits.cold_factor, cfg.limits.cold_slack
-        )
-        self._cold_start_limiter = coldstart.ColdStartLimiter(
-            cfg.node, rate_limit
-        )
         self.owner_lookup = owners.OwnerLookup(view, cfg.limits)
-        self._route_work = loads.RouteWork()
-        self._rng = random.Random()
+        self._selector = selection.TargetSelector(
+            cfg, view, self.owner_lookup, log
+        )
         self._router_headers = {
             header_names.deadline.lower(),
             header_names.expected_target.lower(),
@@ -162,7 +153,7 @@
         service = state.service.name
         self._retry_budget.earn(service, self._view.node_count())
         while state.remaining_seconds() > attempts.MIN_REMAINING_SECONDS:
-            target = await self._select_target(state)
+            target = await self._selector.select(state)
             if target is None:
                 break
             if state.tried_targets and not self._retry_budget.spend(service):
@@ -180,107 +171,6 @@
             return False
         return len(state.tried_targets) < max(1, state.route.max_targets)
 
-    async def _select_target(
-        self, state: attempts.CallState
-    ) -> registry.Target | None:
-        """Returns the target for the next attempt, if one admits the call."""
-        if state.is_keyed:
-            target = await self.owner_lookup.find_owner(state)
-        else:
-            target = self._choose_pooled_target(state)
-        if target is None:
-            return None
-        now = time.monotonic()
-        if not self._admit(state, target, now):
-            return None
-        return target
-
-    def _choose_pooled_target(
-        self, state: attempts.CallState
-    ) -> registry.Target | None:
-        """Returns the best target for a call that any target may serve."""
-        now = time.monotonic()
-        nodes = self._view.node_count()
-        limit = state.service.max_connections
-        candidates = [
-            target
-            for target in self._view.registry.service_targets(
-                state.service.name
-            )
-            if target.listing.target_id not in state.tried_targets
-            and self._view.registry.is_available(target, now)
-            and admission.has_spare_connection(target, limit, nodes)
-            and self._may_send_if_cold(state.service, target, now)
-        ]
-        target = balancing.choose_target(
-            candidates, self._cfg.zone, nodes, now, self._rng
-        )
-        if target is None and not state.tried_targets:
-            state.latest_code = codes.ResultCode.NO_TARGET
-            state.retry_after = attempts.NO_TARGET_RETRY_SECONDS
-        return target
-
-    def _may_send_if_cold(self, service, target, now: float) -> bool:
-        """Returns whether the target is warm, or cold and due for a call."""
-        if not target.is_cold(now):
-            return True
-        return self._cold_start_limiter.may_send(
-            target.listing.target_id, service.cold_rate, self._view.nodes, now
-        )
-
-    def _admit(
-        self, state: attempts.CallState, target: registry.Target, now: float
-    ) -> bool:
-        """Returns whether the target can serve the call in time.
-
-        If not, the result code and the retry time are set in the state.
-        """
-        service = state.service
-        if not self._may_send_if_cold(service, target, now):
-            state.latest_code = codes.ResultCode.OVERLOADED
-            state.retry_after = COLD_RETRY_SECONDS
-            return False
-        if state.is_keyed and target.load.unreachable_until > now:
-            state.latest_code = codes.ResultCode.TARGET_REFUSED
-            state.retry_after = attempts.NO_TARGET_RETRY_SECONDS
-            return False
-        relative_work = self._route_work.relative_work(
-            service.name, state.route.name, target.load.service_work.mean()
-        )
-        expected_seconds = target.load.expected_seconds(
-            target.listing.slots, now, relative_work
-        )
-        objective = state.route.objective
-        longest_objective = self._view.routes.longest_objectives.get(
-            service.name, objective
-        )
-        nodes = self._view.node_count()
-        is_full = not admission.has_spare_connection(
-            target, service.max_connections, nodes
-        )
-        if is_full or admission.should_refuse(
-            expected_seconds, longest_objective, state.remaining_seconds()
-        ):
-            state.latest_code = codes.ResultCode.OVERLOADED
-            state.retry_after = admission.retry_after(
-                expected_seconds, objective
-            )
-            self._log.log_call(
-                "call refused, target overloaded",
-                call=state.call.call_id,
-                service=service.name,
-                target=target.listing.target_id,
-                expected=round(expected_seconds, 3),
-                relative_work=round(relative_work, 3),
-                left=round(state.remaining_seconds(), 3),
-                objective=objective,
-                longest_objective=longest_objective,
-                report=repr(target.load.report),
-                report_age=round(now - target.load.reported_at, 3),
-            )
-            return False
-        return True
-
     async def _send_to_target(
         self, state: attempts.CallState, target: registry.Target
     ) -> calls.Reply | None:
@@ -291,8 +181,7 @@
         """
         now = time.monotonic()
         target_id = target.listing.target_id
-        if target.is_cold(now):
-            self._cold_start_limiter.record_call(target_id, now)
+        self._selector.record_call(target, now)
         state.tried_targets.append(target_id)
         state.queue_ratio = target.load.queue_ratio(target.listing.slots, now)
         target.load.in_flight += 1
@@ -415,9 +304,7 @@
             seconds: Time from sending the call to its answer, in seconds.
         """
         work_seconds = target.load.observe_success(seconds, state.queue_ratio)
-        self._route_work.observe(
-            state.service.name, state.route.name, work_seconds
-        )
+        self._selector.record_work(state, work_seconds)
         if state.is_keyed:
             meter = self._reporter.meter(state.service.name)
             meter.count_work(target.listing.target_id, work_seconds)
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -398,7 +398,7 @@
     harness.set_owner("t1")
     for _ in range(30):
         target.load.observe_success(1.2, 0.0)
-        harness.forwarder._route_work.observe("desk", "lookup", 1.2)
+        harness.forwarder._selector.route_work.observe("desk", "lookup", 1.2)
     target.load.in_flight = in_flight
     harness.client.script = [make_answer()]
     assert (await harness.serve(route, key=5)).status == status
