Read an accepted configuration for as long as the store may need

Change: the read has 10 s, and the acceptance counts from before the read, so that the checks' bounds begin earlier than they did. No check is changed.

--- a/scripts/history.py
+++ b/scripts/history.py
@@ -4,6 +4,7 @@
 import pathlib
 import signal
 
+from jujubeyard import clock
 from jujubeyard.events import checker
 from jujubeyard.events import findings
 from jujubeyard.events import kinds
@@ -15,6 +16,8 @@
 from scripts import specs
 
 HEALTHY_STATUS_CODE = 200
+CONFIG_READ_SECONDS = 10.0
+"""Longest time for reading a configuration that was accepted."""
 
 
 class Harness:
@@ -110,14 +113,21 @@
         return output
 
     async def record_accepted_config(self) -> None:
-        """Reads the configuration from the store and records its acceptance."""
-        store = etcd_client.EtcdClient(self.cluster.store_address)
+        """Reads the configuration from the store and records its acceptance.
+
+        It counts as accepted from now on, also if the read takes long.
+        """
+        accepted_at = clock.hybrid_clock.now()
+        store = etcd_client.EtcdClient(
+            self.cluster.store_address, CONFIG_READ_SECONDS
+        )
         writer = config_writer.ConfigWriter(store, self.cluster.spec.name)
         current = await writer.read()
         await store.close()
         record = current.record
         self.history.add(
             kinds.EventKind.CONFIG_ACCEPTED,
+            clock=accepted_at,
             version=record.version,
             drained_zones=record.drained_zones,
             drained_targets=record.drained_targets,
