Count the pause between watches from when an answer was sent

Cause: the answer that arrived at 13.921 s had been in the queue of its link for 0.6 s and did not have the removal (first known at 13.31 s). The node then paused 0.5 s, though changes had had that time to gather while the answer was queued, and the next answer took another 0.73 s.

Change: the pause counts from when the answer was sent, that is from its first byte less the time of the latest renewal, as for the proof that a target is listed. Without a queue nothing changes.

Evidence: two cases of test_late_answer_does_not_delay_the_next_version_by_a_pause (queues of 0.2 and 0.5 s; the test is the one of long transfers, with a column more) fail on the code before and pass.

--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -294,15 +294,15 @@
     def _measure_pause(self, transfer: interface.Transfer) -> float:
         """Returns the pause before the next watch, in seconds.
 
-        Changes that were made while an answer arrived share the next one, so
-        that a long transfer needs no further pause.
+        Changes that were made while an answer was on its way share the next
+        one, so that a long transfer or a long queue needs no further pause.
         """
         pause = self._batch_seconds
         if self.is_low_latency:
             pause = LOW_LATENCY_BATCH_SECONDS
-        if transfer.first_byte_at is None:
-            return pause
-        return max(0.0, transfer.first_byte_at + pause - time.monotonic())
+        now = time.monotonic()
+        sent_at = self._estimate_sending(transfer.first_byte_at or now)
+        return max(0.0, sent_at + pause - now)
 
     def _measure_age(self, transfer: interface.Transfer) -> float:
         """Returns since when the changes that a watch returned may exist.
@@ -319,13 +319,16 @@
         return age
 
     def _record_current(self, received_at: float) -> None:
-        """Records that the items are known to be current.
+        """Records that the items were current when something was sent."""
+        sent_at = self._estimate_sending(received_at)
+        self._current_at = max(self._current_at, sent_at)
 
-        What was received says how they were when it was sent, which on a busy
-        link may be as long ago as a round trip takes.
+    def _estimate_sending(self, received_at: float) -> float:
+        """Returns when something was sent at the earliest.
+
+        On a busy link that may be as long ago as a round trip takes.
         """
-        sent_at = received_at - self._health.round_trip_seconds
-        self._current_at = max(self._current_at, sent_at)
+        return received_at - self._health.round_trip_seconds
 
     def _log_large_answer(self, attempt: hedging.Attempt) -> None:
         if attempt.transfer.received_bytes > LARGE_ANSWER_BYTES:
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -298,15 +298,23 @@
 
 
 @pytest.mark.parametrize(
-    ("arriving_seconds", "pause_seconds"), [(0.0, 0.3), (0.2, 0.1), (0.4, 0.0)]
+    ("arriving_seconds", "queue_seconds", "pause_seconds"),
+    [
+        (0.0, 0.0, 0.3),
+        (0.2, 0.0, 0.1),
+        (0.4, 0.0, 0.0),
+        (0.0, 0.2, 0.1),
+        (0.0, 0.5, 0.0),
+    ],
 )
-async def test_long_transfer_does_not_delay_the_next_version_by_a_pause(
-    arriving_seconds, pause_seconds
+async def test_late_answer_does_not_delay_the_next_version_by_a_pause(
+    arriving_seconds, queue_seconds, pause_seconds
 ):
     store = ScriptedStore(_changed(12, "b"))
     store.arriving_seconds = arriving_seconds
     store_mirror = _make_mirror(store, RecordingListener())
     store_mirror._batch_seconds = 0.3
+    store_mirror._health.round_trip_seconds = queue_seconds
     await store_mirror._read_all()
     started_at = time.monotonic()
     await store_mirror._watch_once()
