Ask again at once after the first failure of a watch, and count 410 as an answer

Cause: a watch that is cut counted as an outage, in which the next attempt waits up to 1 s for another call to be answered (here the renewal at 2.99 s). Then the answer that the history is gone (410) did not count as one, so that the other mirrors went on waiting.

Elsewhere: what the leader's calls and the table reads get isn't counted in the health at all.

Change: only a failure while the store is unavailable already makes the next attempt wait. 410 and an answer that is too large count as answers.

--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -202,6 +202,7 @@
         if attempt.outcome.is_err():
             self._log_failure(WATCH_FAILED, attempt)
             if attempt.outcome.err_value.kind in hedging.CONCLUSIVE_FAILURES:
+                self._record_success()
                 self.revision = None
                 return
             await self._handle_failure(attempt.outcome.err_value)
@@ -364,10 +365,17 @@
         self._health.record_success()
 
     async def _handle_failure(self, failure: interface.Failure) -> None:
+        """Records a failure and waits until the next attempt.
+
+        The first failure may be one of a connection only, which the next
+        attempt shows.
+        """
+        was_available = self._health.is_available
         self._is_next_watch_short = True
         self._health.record_failure(failure)
         await asyncio.sleep(random.uniform(0.0, RETRY_JITTER_SECONDS))
-        await self._health.wait_available_for(RETRY_SECONDS)
+        if not was_available:
+            await self._health.wait_available_for(RETRY_SECONDS)
 
 
 async def _wait_for_first(
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -337,3 +337,27 @@
     await store_mirror._watch_once()
     await store_mirror._watch_once()
     assert listener.ages[2] == pytest.approx(0.3, abs=0.04)
+
+
+@pytest.mark.parametrize("first", [UNKNOWN, COMPACTED, TOO_LARGE])
+async def test_cut_watch_does_not_count_as_an_outage(monkeypatch, first):
+    monkeypatch.setattr(mirror, "RETRY_SECONDS", 5.0)
+    listener = RecordingListener()
+    store_mirror = _make_mirror(
+        ScriptedStore(first, _changed(12, "b")), listener
+    )
+    run = asyncio.create_task(store_mirror.run())
+    await asyncio.sleep(0.05)
+    run.cancel()
+    assert ("changes", ["b"]) in listener.calls
+
+
+@pytest.mark.parametrize("answer", [COMPACTED, TOO_LARGE])
+async def test_answer_that_the_history_is_gone_ends_an_outage(answer):
+    listener = RecordingListener()
+    store_mirror = _make_mirror(ScriptedStore(UNKNOWN, answer), listener)
+    await store_mirror._read_all()
+    await store_mirror._watch_once()
+    assert not store_mirror._health.is_available
+    await store_mirror._watch_once()
+    assert store_mirror._health.is_available
