--- a/src/jujubeyard/store/hedging.py
+++ b/src/jujubeyard/store/hedging.py
@@ -31,14 +31,12 @@
 
     Attributes:
         seconds: How long the store may hold the answer back.
-        is_first: Whether no other attempt at the call was sent before.
         transfer: How the answer arrives.
         started_at: When it was sent, in monotonic seconds.
         task: Task that returns the outcome.
     """
 
     seconds: float
-    is_first: bool
     transfer: interface.Transfer = dataclasses.field(
         default_factory=interface.Transfer
     )
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -185,9 +185,9 @@
         self.revision = attempt.outcome.ok_value.revision
         self._update_latest_revision(items)
 
-    def _send_read(self, is_first: bool) -> hedging.Attempt:
+    def _send_read(self, _: bool) -> hedging.Attempt:
         """Sends a call that reads all items."""
-        attempt = hedging.Attempt(0.0, is_first)
+        attempt = hedging.Attempt(seconds=0.0)
         attempt.task = asyncio.ensure_future(
             self._store.read_all(self.prefix, attempt.transfer)
         )
@@ -229,7 +229,7 @@
         if not is_usual or not self._health.is_available:
             seconds = SHORT_WATCH_SECONDS
         self._behind.clear()
-        attempt = hedging.Attempt(seconds, is_first)
+        attempt = hedging.Attempt(seconds)
         attempt.task = asyncio.ensure_future(
             self._store.watch(
                 self.prefix, self.revision, seconds, attempt.transfer
--- a/tests/store/test_hedging.py
+++ b/tests/store/test_hedging.py
@@ -22,10 +22,12 @@
         self._script = list(script)
         self._arriving_seconds = arriving_seconds
         self.attempts = []
+        self.first_flags = []
         self.failed = []
 
     def send(self, is_first):
-        attempt = hedging.Attempt(0.0, is_first)
+        self.first_flags.append(is_first)
+        attempt = hedging.Attempt(seconds=0.0)
         step = (SILENCE_SECONDS, FAILED)
         if len(self.attempts) < len(self._script):
             step = self._script[len(self.attempts)]
@@ -77,9 +79,6 @@
         sender.send, _wait_until_doubtful, sender.failed.append
     )
     assert attempt is sender.attempts[decides]
-    assert [each.is_first for each in sender.attempts] == [
-        True,
-        *[False] * (sent - 1),
-    ]
+    assert sender.first_flags == [True, *[False] * (sent - 1)]
     assert len(sender.failed) == failed
     assert all(each.task.done() for each in sender.attempts)
