Run the mirrors of the slow link's tests by one fixture

The two tests set up the same mirror, registration and beacons, the older one with time limits that the node no longer has.

--- a/tests/store/test_slow_link.py
+++ b/tests/store/test_slow_link.py
@@ -1,6 +1,7 @@
 """Tests of a mirror behind a link whose bandwidth is small."""
 
 import asyncio
+import contextlib
 import random
 
 from aiohttp import web
@@ -54,28 +55,59 @@
     await runner.cleanup()
 
 
-def _make_node(address, session, listener):
-    """Returns a mirror, and a registration that shares its health."""
-    kv_client = store.PlatformStore(
+@contextlib.asynccontextmanager
+async def _follow(kv_store, address):
+    """Runs a mirror and a registration that shares its health.
+
+    Beacons of another node tell the mirror what the store has.
+
+    Yields:
+        What the mirror delivers.
+    """
+    session = connections.make_session(headers.NAMES.call_id, force_close=False)
+    client = store.PlatformStore(
         address,
         session,
         core.STORE_CALL_TIMEOUT_SECONDS,
         core.STORE_READ_TIMEOUT_SECONDS,
     )
+    listener = VersionListener()
     store_health = health.Health(lambda _: None, lambda: None)
     log = fakes.RecordingJournal()
-    return (
-        mirror.Mirror(kv_client, "op/", listener, store_health, 0.4, log),
-        tasks.NodeRegistration(
-            kv_client, "fleet/nodes/n1", "n1", store_health, log
-        ),
+    store_mirror = mirror.Mirror(
+        client, "op/", listener, store_health, core.OPERATOR_BATCH_SECONDS, log
     )
+    registration = tasks.NodeRegistration(
+        client, "fleet/nodes/n1", "n1", store_health, log
+    )
+    running = [
+        asyncio.create_task(run)
+        for run in (
+            store_mirror.run(),
+            registration.run(),
+            _send_beacons(store_mirror, kv_store),
+        )
+    ]
+    await asyncio.sleep(SETTLE_SECONDS)
+    try:
+        yield listener
+    finally:
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        await session.close()
 
 
 async def _send_beacons(store_mirror, kv_store) -> None:
     while True:
-        store_mirror.wake_if_behind(kv_store._revision)
         await asyncio.sleep(BEACON_SECONDS)
+        store_mirror.wake_if_behind(kv_store._revision)
+
+
+async def _wait_in_force(listener, value: bytes) -> None:
+    async with asyncio.timeout(IN_FORCE_SECONDS):
+        while listener.values[-1] != value:
+            await asyncio.sleep(0.02)
 
 
 @pytest.mark.parametrize(
@@ -88,32 +120,14 @@
     kv_store, link, address = standin
     link.bytes_per_second = bytes_per_second
     kv_store.put("op/config", b"00")
-    session = connections.make_session(headers.NAMES.call_id, force_close=False)
-    listener = VersionListener()
-    store_mirror = mirror.Mirror(
-        store.PlatformStore(address, session, 0.5, 0.6),
-        "op/",
-        listener,
-        health.Health(lambda _: None, lambda: None),
-        0.4,
-        fakes.RecordingJournal(),
-    )
-    tasks = [asyncio.create_task(store_mirror.run())]
-    await asyncio.sleep(SETTLE_SECONDS)
-    tasks.append(asyncio.create_task(_send_beacons(store_mirror, kv_store)))
-    for version in range(1, versions + 1):
-        await asyncio.sleep(0.08)
-        value = f"{version:02}".encode() + random.randbytes(CONFIGURATION_BYTES)
-        kv_store.put("op/config", value)
-    try:
-        async with asyncio.timeout(IN_FORCE_SECONDS):
-            while listener.values[-1] != f"{versions:02}".encode():
-                await asyncio.sleep(0.02)
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        await session.close()
+    async with _follow(kv_store, address) as listener:
+        for version in range(1, versions + 1):
+            await asyncio.sleep(0.08)
+            label = f"{version:02}".encode()
+            kv_store.put(
+                "op/config", label + random.randbytes(CONFIGURATION_BYTES)
+            )
+        await _wait_in_force(listener, label)
 
 
 @pytest.mark.parametrize("queue_seconds", [0.2, 0.4, 0.7])
@@ -123,25 +137,10 @@
 ):
     kv_store, link, address = standin
     kv_store.put("op/config", b"00")
-    session = connections.make_session(headers.NAMES.call_id, force_close=False)
-    listener = VersionListener()
-    store_mirror, registration = _make_node(address, session, listener)
-    running = [
-        asyncio.create_task(store_mirror.run()),
-        asyncio.create_task(registration.run()),
-    ]
-    await asyncio.sleep(SETTLE_SECONDS)
-    running.append(asyncio.create_task(_send_beacons(store_mirror, kv_store)))
-    link.delay_seconds = queue_seconds
-    await asyncio.sleep(CHOKED_SECONDS)
-    try:
+    async with _follow(kv_store, address) as listener:
+        link.delay_seconds = queue_seconds
+        await asyncio.sleep(CHOKED_SECONDS)
         for change in range(1, changes + 1):
-            kv_store.put("op/config", f"{change:02}".encode())
-            async with asyncio.timeout(IN_FORCE_SECONDS):
-                while listener.values[-1] != f"{change:02}".encode():
-                    await asyncio.sleep(0.02)
-    finally:
-        for task in running:
-            task.cancel()
-        await asyncio.gather(*running, return_exceptions=True)
-        await session.close()
+            label = f"{change:02}".encode()
+            kv_store.put("op/config", label)
+            await _wait_in_force(listener, label)
