Keep a zone of the soak evacuated until its last evacuation is revoked

Cause: two evacuations of zone a overlapped. The one that ended first removed the store's item; the other one's record stayed open. All four nodes logged 'zone evacuation ended' at 628.043 to 628.044 s, the call was sent by node-3 at 628.81 s: a fault of the soak, none of the nodes.

Change: the item is removed with the last evacuation of the zone, so that a zone is evacuated for as long as any record says; the check is as before.

Evidence: test_zone_is_evacuated_until_its_last_evacuation_is_revoked fails on the code before and passes.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -411,7 +411,10 @@
 
 
 async def evacuate_zone(ctx: FaultContext) -> None:
-    """Evacuates an availability zone, then revokes the evacuation."""
+    """Evacuates an availability zone, then revokes the evacuation.
+
+    A zone stays evacuated until the last of its evacuations is revoked.
+    """
     zone = ctx.rng.choice(fleet.ZONES)
     key = documents.evacuation_key(zone)
     while ctx.fleet.store.faults.is_down():
@@ -420,8 +423,18 @@
     removal = observations.Removal(zone, time.monotonic())
     ctx.observed.evacuations.append(removal)
     await ctx.wait(2.0, 9.0)
-    ctx.fleet.store.remove(key)
     removal.end = time.monotonic()
+    if not _is_evacuated(ctx.observed, zone):
+        ctx.fleet.store.remove(key)
+
+
+def _is_evacuated(observed: observations.Observations, zone: str) -> bool:
+    """Returns whether an evacuation of a zone hasn't been revoked."""
+    now = time.monotonic()
+    return any(
+        removal.name == zone and removal.end > now
+        for removal in observed.evacuations
+    )
 
 
 Fault = collections.abc.Callable[
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -1,10 +1,12 @@
-"""Tests of concurrent faults of the soak that restart nodes."""
+"""Tests of faults of the soak that overlap."""
 
 import asyncio
 import random
 
 import pytest
 
+from platform_standins import documents
+from platform_standins import store
 from soak import faults
 from soak import fleet
 from soak import observations
@@ -32,6 +34,7 @@
 
     def __init__(self):
         self.observed = observations.Observations(0.0)
+        self.store = store.Store(random.Random(1))
         self.nodes = {
             name: fleet.Node(name, "a", "", None, FakeProcess())
             for name in ("n1", "n2")
@@ -66,3 +69,26 @@
     await asyncio.gather(*(fault(ctx) for fault in restarting_faults * 3))
     assert running_fleet.spawned
     assert all(node.should_run for node in running_fleet.nodes.values())
+
+
+async def test_zone_is_evacuated_until_its_last_evacuation_is_revoked(
+    monkeypatch,
+):
+    running_fleet = FakeFleet()
+    ctx = faults.FaultContext(running_fleet, random.Random(1))
+    waits = iter([0.06, 0.02, 0.04])
+
+    async def wait(shortest, longest):
+        await asyncio.sleep(next(waits))
+
+    monkeypatch.setattr(ctx, "wait", wait)
+    monkeypatch.setattr(fleet, "ZONES", ("a",))
+    started = [asyncio.create_task(faults.evacuate_zone(ctx)) for _ in range(3)]
+    key = documents.evacuation_key("a")
+    await asyncio.sleep(0.05)
+    assert [task.done() for task in started] == [False, True, True]
+    assert key in running_fleet.store._items
+    await asyncio.gather(*started)
+    assert key not in running_fleet.store._items
+    ends = [removal.end for removal in running_fleet.observed.evacuations]
+    assert ends[1] < ends[2] < ends[0] < float("inf")
