Record a call of a gate as sent once its lease was checked for the last time

A gate recorded 'send' in the task of the attempt, after the first check of its lease and before the second one, for which the connector waits for a connection. A gate that is paused between the two, for longer than its lease, records a call on waking that the second check then refuses: nothing is written to the target. Ruled out: a lease that is used too long. The connector's check stands right before the first byte, with the clock that also runs in a pause. Change: 'send' is recorded by a trace of the request, after the second check. The checks of the history are as they were. Test: test_call_not_sent_after_a_pause_is_not_recorded_as_sent pauses the loop after the first check; on the code before, the caller got LEASE_LAPSED and two sends were recorded (assert 2 == 1).

--- a/src/jujubeyard/gate/dispatch.py
+++ b/src/jujubeyard/gate/dispatch.py
@@ -1,6 +1,7 @@
 """Dispatches queued calls to targets that have room."""
 
 import asyncio
+import functools
 import itertools
 
 import aiohttp
@@ -131,12 +132,12 @@
         row.epoch,
         target.version,
     )
-    _record_send(gate, row, target)
     try:
         response = await target.upstream.send(
             row.call,
             metadata,
             row.deadline - started_at + DEADLINE_GRACE_SECONDS,
+            on_send=functools.partial(_record_send, gate, row, target),
         )
         _finish_answered(gate, row, target, response, started_at)
     except _NOT_SENT_ERRORS as exc:
--- a/src/jujubeyard/gate/upstream.py
+++ b/src/jujubeyard/gate/upstream.py
@@ -145,7 +145,11 @@
         self._incarnation = ""
 
     async def send(
-        self, call: messages.Call, metadata: CallMetadata, seconds: float
+        self,
+        call: messages.Call,
+        metadata: CallMetadata,
+        seconds: float,
+        on_send: collections.abc.Callable[[], None] | None = None,
     ) -> TargetResponse:
         """Sends a call and returns the target's response.
 
@@ -153,6 +157,8 @@
             call: The call to send.
             metadata: Identity, shard and epochs of the call.
             seconds: Timeout of the request, also sent as its deadline.
+            on_send: Called once the lease was checked for the last time, right
+                before the call is written.
 
         Raises:
             LeaseLapsedError: Nothing was sent.
@@ -170,6 +176,7 @@
             headers=self._call_headers(call, metadata, seconds),
             timeout=timeout,
             allow_redirects=False,
+            trace_request_ctx=on_send,
         ) as response:
             body = await self._reader.read(response.content)
             self._record_clock(response)
@@ -310,6 +317,7 @@
             )
             self._session = aiohttp.ClientSession(
                 connector=connector,
+                trace_configs=[_trace_sends()],
                 response_class=connections.Response,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
@@ -318,6 +326,18 @@
         return self._session
 
 
+def _trace_sends() -> aiohttp.TraceConfig:
+    """Returns a trace that calls what a request was given as its context."""
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(_report_send)
+    return trace
+
+
+async def _report_send(_session, context, _params) -> None:
+    if context.trace_request_ctx is not None:
+        context.trace_request_ctx()
+
+
 def _parse_probe(body: bytes, has_document: bool) -> dict:
     """Returns the document in the answer to a grant.
 
--- a/tests/gate/test_gate.py
+++ b/tests/gate/test_gate.py
@@ -9,7 +9,12 @@
 
 from jujubeyard import codes
 from jujubeyard import settings
+from jujubeyard.events import findings
+from jujubeyard.events import kinds
+from jujubeyard.events import timeline
 from jujubeyard.gate import core
+from jujubeyard.gate import dispatch
+from jujubeyard.lease import timing
 from jujubeyard.link import link
 from jujubeyard.link import messages
 from jujubeyard.load import generator
@@ -98,6 +103,7 @@
     targets: int = 1,
     service: dict | None = None,
     drained: tuple[str, ...] = (),
+    events_file: str = "",
     **target_settings,
 ):
     """Runs a gate and yields a FakeEntry and the FakeController."""
@@ -118,6 +124,7 @@
             **processes.make_settings(),
             controllers=[controller_peer.address],
             shutdown_seconds=0.0,
+            events_file=events_file,
         )
         await stack.enter_async_context(processes.serving(core.serve, cfg))
         own_identity = processes.make_identity("entry")
@@ -296,3 +303,22 @@
         reply = await waiting
         assert codes.CODE_INFO[Code(reply.code)].not_run
         assert (await first).code == Code.OK
+
+
+async def test_call_not_sent_after_a_pause_is_not_recorded_as_sent(
+    monkeypatch, tmp_path
+):
+    may_send = dispatch._may_send
+
+    def pause_after_decision(*args) -> bool:
+        allowed = may_send(*args)
+        time.sleep(timing.HOLDER_LEASE_SECONDS)
+        return allowed
+
+    path = tmp_path / "events"
+    async with running_gate(work_ms=1.0, events_file=str(path)) as (entry, _):
+        assert (await entry.call("read")).code == Code.OK
+        monkeypatch.setattr(dispatch, "_may_send", pause_after_decision)
+        assert (await entry.call("read")).code == Code.LEASE_LAPSED
+    history = timeline.read_histories([path])
+    assert len(findings.select_events(history, kinds.EventKind.SEND)) == 1
