Bound the bodies of calls in progress and the answers that callers don't read

Cause: the limit of callers' bodies held only while they were read. 60 callers with bodies of 1 MiB, whose calls ran or waited, left 60 MiB in a node (limit 32); nothing limited answers that callers don't read, which is what remained of the users' report of bytes without end. The smallest VMs have 200 MB. Change: a body counts until its call is answered (BodyReader.hold), in nodes and in entries. Responses of over 64 KiB are written by responses.ResponseWriter: at 24 MiB of unread bytes in all, the connection of the caller that reads slowest is reset and logged, so that others are served. A smaller response is left to the server, which waits for its caller above 64 KiB a connection. Considered: a time limit for each answer. It would also end answers on links that are slow or cut for a while, and would come too late for memory. Tests, on nodes and on entries: four, each failed with the mechanism taken out; with it 12 callers that don't read 8 MiB leave at most 24 MiB, and a caller that reads gets its answer whole. CallerServer takes the log now, so that the harness of its tests passes one.

--- a/src/jujubeyard/bodies.py
+++ b/src/jujubeyard/bodies.py
@@ -1,6 +1,8 @@
 """Reads HTTP bodies within a limit of memory."""
 
 import asyncio
+import collections.abc
+import contextlib
 
 import aiohttp
 import result
@@ -15,14 +17,15 @@
 
 
 class BuffersFullError(aiohttp.ClientPayloadError):
-    """All bodies that are being read are larger than their reader accepts."""
+    """All bodies together are larger than their reader accepts."""
 
 
 class BodyReader:
     """Reads bodies, whose sizes are limited singly and together.
 
     Attributes:
-        buffered_bytes: Size of the parts of all bodies that are being read.
+        buffered_bytes: Size of the parts of all bodies that are being read, and
+            of those that are held.
     """
 
     def __init__(self, max_body_bytes: int, max_buffered_bytes: int):
@@ -30,7 +33,7 @@
 
         Args:
             max_body_bytes: Largest size of one body.
-            max_buffered_bytes: Largest size of all bodies that are being read.
+            max_buffered_bytes: Largest size of all bodies together.
         """
         self._max_body_bytes = max_body_bytes
         self._max_buffered_bytes = max_buffered_bytes
@@ -59,6 +62,19 @@
             self.buffered_bytes -= len(body)
         return bytes(body)
 
+    @contextlib.contextmanager
+    def hold(self, body: bytes) -> collections.abc.Iterator[None]:
+        """Counts a body that was read for as long as the block runs.
+
+        Args:
+            body: The body.
+        """
+        self.buffered_bytes += len(body)
+        try:
+            yield
+        finally:
+            self.buffered_bytes -= len(body)
+
     async def read_request(
         self, content: aiohttp.StreamReader, seconds: float
     ) -> result.Result[bytes, codes.ResultCode]:
--- a/src/jujubeyard/entry/entry.py
+++ b/src/jujubeyard/entry/entry.py
@@ -12,6 +12,7 @@
 from jujubeyard import bodies
 from jujubeyard import clock
 from jujubeyard import codes
+from jujubeyard import responses
 from jujubeyard import settings
 from jujubeyard.admission import budget
 from jujubeyard.entry import metrics
@@ -83,6 +84,7 @@
         self._body_reader = bodies.BodyReader(
             cfg.max_body_bytes, MAX_BUFFERED_BYTES
         )
+        self._writer = responses.ResponseWriter(self._log_abandoned)
         self._next_metrics_update = 0.0
         self._open_calls = 0
         self._shutting_down = False
@@ -135,10 +137,21 @@
             return self._make_health_response()
         self._open_calls += 1
         try:
-            return await self._handle_call(req)
+            return await self._writer.write(req, await self._handle_call(req))
         finally:
             self._open_calls -= 1
 
+    def _log_abandoned(self, abandoned: responses.AbandonedResponse) -> None:
+        self._runtime.logger.warning(
+            "answer given up, caller too slow",
+            extra={
+                "path": abandoned.request.path,
+                "bytes": abandoned.body_bytes,
+                "unread_bytes": abandoned.unread_bytes,
+                "seconds": round(abandoned.seconds, 3),
+            },
+        )
+
     def _make_health_response(self) -> web.Response:
         config = self._follower.config
         ready = config is not None and self._follower.plan is not None
@@ -163,7 +176,8 @@
         if body.is_err():
             return _refuse_body(body.err_value)
         started = clock.boottime()
-        reply = await self._route(req, parsed.ok_value, body.ok_value)
+        with self._body_reader.hold(body.ok_value):
+            reply = await self._route(req, parsed.ok_value, body.ok_value)
         self._record_call(parsed.ok_value, reply, clock.boottime() - started)
         return replies.make_response(reply)
 
--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -234,7 +234,9 @@
             log,
             self._reporter,
         )
-        self._server = server.CallerServer(self._forwarder.serve, header_names)
+        self._server = server.CallerServer(
+            self._forwarder.serve, header_names, log
+        )
         self._tasks: list[asyncio.Task] = []
         self._is_shutting_down = False
 
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -11,13 +11,15 @@
 from jujubeyard import bodies
 from jujubeyard import codes
 from jujubeyard import durations
+from jujubeyard import responses
 from jujubeyard.node import calls
+from jujubeyard.node import journal
 from jujubeyard.node import protocol
 from jujubeyard.node import settings
 
 MAX_BODY_BYTES = 8 * bodies.MIB
 MAX_BUFFERED_BYTES = 32 * bodies.MIB
-"""Largest size of all bodies that are being read from callers."""
+"""Largest size of all bodies of callers whose calls aren't answered yet."""
 
 LINGER_SECONDS = 1.0
 """How long the rest of a body is discarded after an early answer."""
@@ -62,9 +64,20 @@
     """
 
     def __init__(
-        self, handle_call: CallHandler, header_names: protocol.HeaderNames
+        self,
+        handle_call: CallHandler,
+        header_names: protocol.HeaderNames,
+        log: journal.Journal,
     ):
+        """Initializes the server; it listens once it is started.
+
+        Args:
+            handle_call: Returns the reply to a call.
+            header_names: Names of the protocol's headers.
+            log: The log.
+        """
         self._handle_call = handle_call
+        self._log = log
         self._header_names = header_names
         self.active = 0
         self.is_shutting_down = False
@@ -74,6 +87,7 @@
         self._body_reader = bodies.BodyReader(
             MAX_BODY_BYTES, MAX_BUFFERED_BYTES
         )
+        self._writer = responses.ResponseWriter(self._log_abandoned)
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._handle_request)
         self._runner = web.AppRunner(
@@ -112,7 +126,8 @@
         """Answers a request, which counts as active until then."""
         self.active += 1
         try:
-            return await self._answer_request(req)
+            resp = await self._answer_request(req)
+            return await self._writer.write(req, resp)
         finally:
             self.active -= 1
 
@@ -126,13 +141,20 @@
         )
         if body.is_err():
             return self._refuse_body(body.err_value)
+        with self._body_reader.hold(body.ok_value):
+            return await self._answer_call(req, body.ok_value, timeout_seconds)
+
+    async def _answer_call(
+        self, req: web.Request, body: bytes, timeout_seconds: float
+    ) -> web.Response:
+        """Returns the response to a request whose body was read."""
         if self.is_refusing_calls:
             code = codes.ResultCode.SHUTTING_DOWN
             return self._make_response(
                 calls.make_error_reply(code, SHUTDOWN_RETRY_SECONDS)
             )
         try:
-            call = self._parse_call(req, body.ok_value, timeout_seconds)
+            call = self._parse_call(req, body, timeout_seconds)
         except ValueError:
             return self._make_response(
                 calls.make_error_reply(codes.ResultCode.BAD_REQUEST)
@@ -157,6 +179,16 @@
         for limit in self._call_limits:
             limit.reschedule(now)
 
+    def _log_abandoned(self, abandoned: responses.AbandonedResponse) -> None:
+        headers = abandoned.request.headers
+        self._log.log_call(
+            "answer given up, caller too slow",
+            call=headers.get(self._header_names.call_id, ""),
+            bytes=abandoned.body_bytes,
+            unread_bytes=abandoned.unread_bytes,
+            seconds=round(abandoned.seconds, 3),
+        )
+
     def _refuse_body(self, code: codes.ResultCode) -> web.Response:
         """Returns the response to a request whose body isn't read whole."""
         retry_after = 0.0
--- /dev/null
+++ b/src/jujubeyard/responses.py
@@ -0,0 +1,132 @@
+"""Writes responses to callers, whose unread bodies are limited together."""
+
+import collections.abc
+import dataclasses
+import socket
+import time
+
+from aiohttp import web
+
+from jujubeyard import bodies
+from jujubeyard import connections
+
+MAX_UNREAD_BYTES = 24 * bodies.MIB
+"""Largest size of all that callers haven't taken yet of large bodies. A body is
+in memory twice while it is written."""
+
+LARGE_BODY_BYTES = 64 * 1024
+"""Size above which a body is counted; a smaller one is written at once."""
+
+MIN_RATE_SECONDS = 0.1
+"""Shortest time over which the rate of a caller is measured."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AbandonedResponse:
+    """A response that was given up because its caller read too slowly.
+
+    Attributes:
+        request: The caller's request.
+        body_bytes: Size of the body.
+        unread_bytes: Size of what the caller's connection hadn't taken.
+        seconds: Time since the writing began.
+    """
+
+    request: web.BaseRequest
+    body_bytes: int
+    unread_bytes: int
+    seconds: float
+
+
+class _Unread:
+    """A response that is being written."""
+
+    def __init__(self, req: web.BaseRequest, body_bytes: int):
+        self.transport = req.transport
+        self._req = req
+        self._body_bytes = body_bytes
+        self._started_at = time.monotonic()
+
+    @property
+    def unread_bytes(self) -> int:
+        """Size of what the caller's connection hasn't taken yet."""
+        return self.transport.get_write_buffer_size()
+
+    def read_rate(self) -> float:
+        """Returns how fast the caller reads, in bytes per second."""
+        seconds = time.monotonic() - self._started_at
+        read_bytes = self._body_bytes - self.unread_bytes
+        return read_bytes / max(seconds, MIN_RATE_SECONDS)
+
+    def abandon(self) -> AbandonedResponse:
+        """Resets the connection, and returns what was given up."""
+        abandoned = AbandonedResponse(
+            self._req,
+            self._body_bytes,
+            self.unread_bytes,
+            time.monotonic() - self._started_at,
+        )
+        sock = self.transport.get_extra_info("socket")
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, connections.RESET_ON_CLOSE
+        )
+        self.transport.abort()
+        return abandoned
+
+
+class ResponseWriter:
+    """Writes responses within a limit of memory.
+
+    When the limit is reached, the responses of the slowest callers are given
+    up, so that the others still get theirs.
+    """
+
+    def __init__(
+        self, report: collections.abc.Callable[[AbandonedResponse], None]
+    ):
+        """Initializes a writer.
+
+        Args:
+            report: Called with each response that is given up.
+        """
+        self._report = report
+        self._unread: set[_Unread] = set()
+
+    async def write(
+        self, req: web.BaseRequest, resp: web.Response
+    ) -> web.Response:
+        """Writes a response until its caller has taken it, if it is large.
+
+        A small response is left to the server.
+
+        Args:
+            req: The request.
+            resp: The response to it.
+
+        Returns:
+            The response, for the server.
+        """
+        body_bytes = resp.content_length or 0
+        if body_bytes <= LARGE_BODY_BYTES or req.transport is None:
+            return resp
+        self._make_room(body_bytes)
+        unread = _Unread(req, body_bytes)
+        self._unread.add(unread)
+        try:
+            await resp.prepare(req)
+            await resp.write_eof()
+        except ConnectionError:
+            pass  # The server finds the connection closed as well.
+        finally:
+            self._unread.discard(unread)
+        return resp
+
+    def _make_room(self, body_bytes: int) -> None:
+        """Gives up responses until a body fits into the limit."""
+        unread_bytes = sum(unread.unread_bytes for unread in self._unread)
+        while self._unread and unread_bytes + body_bytes > MAX_UNREAD_BYTES:
+            slowest = min(self._unread, key=_Unread.read_rate)
+            self._unread.discard(slowest)
+            abandoned = slowest.abandon()
+            unread_bytes -= abandoned.unread_bytes
+            self._report(abandoned)
--- a/tests/entry/test_entry.py
+++ b/tests/entry/test_entry.py
@@ -5,9 +5,11 @@
 
 import pytest
 
+from jujubeyard import bodies
 from jujubeyard import codes
 from jujubeyard import settings
 from jujubeyard.entry import core
+from jujubeyard.entry import entry
 from jujubeyard.link import messages
 from jujubeyard.load import generator
 from jujubeyard.plan import codec
@@ -16,6 +18,7 @@
 from jujubeyard.store import records
 from tests.utils import builders
 from tests.utils import processes
+from tests.utils import slow_callers
 
 Code = codes.ResultCode
 
@@ -33,6 +36,7 @@
 
     def __init__(self, script):
         self.script = list(script)
+        self.answer_body: bytes | None = None
         self.calls: list[messages.Call] = []
         self.peer = None
 
@@ -45,7 +49,8 @@
         if action is None:
             peer.close()
         elif action != "silent":
-            peer.send(make_reply(message.query, action, message.body))
+            body = self.answer_body or message.body
+            peer.send(make_reply(message.query, action, body))
 
 
 def make_controller_handler(manifest: dict, gate_address: str):
@@ -175,19 +180,19 @@
 
     The gate replies to concurrent calls in reverse order.
     """
-    bodies = [f"body-{n}".encode() for n in range(8)]
+    sent_bodies = [f"body-{n}".encode() for n in range(8)]
     async with running_entry(["silent"]) as (address, gate):
         tasks = [
             asyncio.create_task(
                 processes.call(address, "/desk/x", body, **READ_HEADERS)
             )
-            for body in bodies
+            for body in sent_bodies
         ]
-        await processes.wait_for(lambda: len(gate.calls) == len(bodies))
+        await processes.wait_for(lambda: len(gate.calls) == len(sent_bodies))
         for call in reversed(gate.calls):
             gate.peer.send(make_reply(call.query, Code.OK, call.body))
         answers = await asyncio.gather(*tasks)
-    assert [answer[3] for answer in answers] == bodies
+    assert [answer[3] for answer in answers] == sent_bodies
 
 
 BAD_REQUESTS = {
@@ -298,6 +303,37 @@
     assert gate.calls == []
 
 
+async def test_bodies_of_calls_in_progress_share_the_memory_limit():
+    body = b"x" * bodies.MIB
+    async with running_entry(["silent"], max_body=len(body)) as (address, gate):
+        answers = [
+            asyncio.create_task(
+                processes.call(address, "/desk/x", body, **READ_HEADERS)
+            )
+            for _ in range(60)
+        ]
+        await asyncio.sleep(1.0)
+        held_bytes = sum(len(call.body) for call in gate.calls)
+        assert 0 < held_bytes <= entry.MAX_BUFFERED_BYTES
+        statuses = {answer.result()[0] for answer in answers if answer.done()}
+        assert statuses == {429}
+        for answer in answers:
+            answer.cancel()
+
+
+async def test_answers_of_slow_callers_are_given_up_for_those_of_others():
+    request = (
+        b"GET /desk/x HTTP/1.1\r\nHost: a\r\nX-Kind: read\r\nX-Key: k\r\n\r\n"
+    )
+    async with running_entry([Code.OK]) as (address, gate):
+        gate.answer_body = b"x" * (7 * bodies.MIB)
+        with slow_callers.connected(address, request, 12) as socks:
+            await asyncio.sleep(1.0)
+            assert 0 < slow_callers.count_resets(socks) < len(socks)
+            answer = await processes.call(address, "/desk/x", **READ_HEADERS)
+        assert answer[3] == gate.answer_body
+
+
 async def test_body_that_stops_is_dropped_at_the_deadline():
     request = (
         b"POST /desk/x HTTP/1.1\r\nHost: a\r\nX-Kind: read\r\nX-Key: k\r\n"
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -1,15 +1,20 @@
 """Tests of the server for callers, also during a shutdown."""
 
 import asyncio
+import io
 
 import pytest
 
+from jujubeyard import bodies
 from jujubeyard import codes
+from jujubeyard import responses
 from jujubeyard.node import calls
+from jujubeyard.node import journal
 from jujubeyard.node import server
 from jujubeyard.node import settings
 from tests.node import test_upstream
 from tests.utils import processes
+from tests.utils import slow_callers
 
 REQUEST = b"GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Call: c1\r\n\r\n"
 
@@ -21,7 +26,12 @@
         self.cancelled_calls = 0
         self.delay_seconds = 0.0
         self.reply = calls.Reply(codes.ResultCode.OK, 200, {"X": "1"}, b"ok")
-        self.server = server.CallerServer(self.serve, test_upstream.NAMES)
+        self.log_output = io.StringIO()
+        self.server = server.CallerServer(
+            self.serve,
+            test_upstream.NAMES,
+            journal.Journal(self.log_output, "vm-0"),
+        )
 
     async def serve(self, call):
         self.calls.append(call)
@@ -192,6 +202,44 @@
         writer.close()
 
 
+async def test_bodies_of_calls_in_progress_share_the_memory_limit(harness):
+    harness.delay_seconds = 5.0
+    request = REQUEST[:-2] + b"Content-Length: %d\r\n\r\n" % bodies.MIB
+    conns = [await harness.connect() for _ in range(60)]
+    for _, writer in conns:
+        writer.write(request + b"x" * bodies.MIB)
+    answers = [asyncio.create_task(_read_answer(reader)) for reader, _ in conns]
+    await asyncio.sleep(1.0)
+    held_bytes = sum(len(call.body) for call in harness.calls)
+    assert 0 < held_bytes <= server.MAX_BUFFERED_BYTES
+    heads = [answer.result()[0] for answer in answers if answer.done()]
+    assert len(heads) + len(harness.calls) == len(conns)
+    assert all(head.startswith(b"HTTP/1.1 429 ") for head in heads)
+    for answer in answers:
+        answer.cancel()
+    for _, writer in conns:
+        writer.transport.abort()
+    await asyncio.sleep(0.2)
+    assert harness.server._body_reader.buffered_bytes == 0
+
+
+async def test_answers_that_callers_do_not_read_share_a_memory_limit(harness):
+    body = b"x" * (8 * bodies.MIB)
+    harness.reply = calls.Reply(codes.ResultCode.OK, 200, {"X": "1"}, body)
+    address = f"{harness.address.host}:{harness.address.port}"
+    with slow_callers.connected(address, REQUEST, 12):
+        await asyncio.sleep(0.5)
+        conns = harness.server._runner.server.connections
+        unread_bytes = sum(
+            conn.transport.get_write_buffer_size() for conn in conns
+        )
+        assert 0 < unread_bytes <= responses.MAX_UNREAD_BYTES
+        reader, writer = await harness.connect()
+        writer.write(REQUEST)
+        assert (await _read_answer(reader))[1] == body
+    assert "answer given up, caller too slow" in harness.log_output.getvalue()
+
+
 async def test_body_that_stops_is_dropped_at_the_deadline(harness):
     reader, writer = await harness.connect()
     writer.write(
