Take no answer of a target that doesn't fit into a frame to its entry

Cause: a gate accepted answers of up to 8 MiB, as large as a frame between our processes may be. The reply around such a body is larger, so that encoding it failed, which closes the link: all other calls of that entry at the gate ended with an unknown outcome for the answer of one target. Evidence: a reply with the largest answer encodes to 8,396,820 bytes, limit 8,388,608 (test_largest_answer_does_not_break_the_link_to_its_entry failed). Change: the limit of an answer is that of a frame less 64 KiB for the other fields; the longest is the content type, of which the client takes 8,190 characters. Calls fit already: an entry takes bodies of 4 MiB at most. Measured: tests of gate/test_upstream pass.

--- a/src/jujubeyard/gate/upstream.py
+++ b/src/jujubeyard/gate/upstream.py
@@ -10,6 +10,7 @@
 from jujubeyard import bodies
 from jujubeyard import connections
 from jujubeyard.gate import headers
+from jujubeyard.link import codec
 from jujubeyard.link import messages
 
 GRANT_SECONDS = 0.9
@@ -18,7 +19,10 @@
 PROBE_TIMEOUT_SECONDS = 0.5
 CONNECT_TIMEOUT_SECONDS = 0.3
 KEEPALIVE_SECONDS = 15.0
-MAX_ANSWER_BYTES = 8 * bodies.MIB
+REPLY_FIELDS_BYTES = 64 * 1024
+"""Largest size of what a reply to an entry holds beside the body."""
+
+MAX_ANSWER_BYTES = codec.MAX_FRAME_BYTES - REPLY_FIELDS_BYTES
 MAX_BUFFERED_BYTES = 48 * bodies.MIB
 """Largest size of all answers that a gate is reading."""
 
--- a/tests/gate/test_upstream.py
+++ b/tests/gate/test_upstream.py
@@ -8,6 +8,7 @@
 
 from jujubeyard import bodies
 from jujubeyard.gate import upstream
+from jujubeyard.link import codec
 from jujubeyard.link import messages
 from tests.utils import raw_server
 
@@ -32,6 +33,7 @@
 
 MAX_SENT_BYTES = 32 * bodies.MIB
 BLOCK = b"x" * 65536
+MAX_HEADER_CHARACTERS = 8190
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n" * 1000
 
 
@@ -132,6 +134,13 @@
     assert server.repeated_bytes < MAX_SENT_BYTES
 
 
+def test_largest_answer_does_not_break_the_link_to_its_entry():
+    body = b"x" * upstream.MAX_ANSWER_BYTES
+    content_type = "t" * MAX_HEADER_CHARACTERS
+    reply = messages.CallReply(1, 100, 200, content_type, body, "", 1, 0)
+    assert len(codec.encode_frame([reply], 0)) <= codec.MAX_FRAME_BYTES
+
+
 @pytest.mark.parametrize("repeated", [BLOCK, OTHER_ANSWER * 1000])
 async def test_endless_bytes_on_an_idle_connection_close_it(
     make_client, repeated
