Reject odd documents and datagrams instead of ending the task that reads them

Cause: the decoders caught a few kinds of errors each. A listing nested 200,000 deep raised RecursionError out of documents.parse_listing through the mirror, so that a node stopped following the list of targets (restarted each 0.2 s, and failing again). Numbers too large for a float raised OverflowError, NaN and Infinity passed as numbers, lone surrogates passed as names that can't be sent on, negative indexes and buckets out of range passed in datagrams, and messages of a rejected document repeated it whole in the log. Change: one set of checks (fields), one place that turns the errors of decoding into a FormatError with a short text; replies of the store that can't be decoded are failures with an unknown outcome. A stored table that can't be decoded is logged and counts as not read.

--- a/src/jujubeyard/node/datagrams.py
+++ b/src/jujubeyard/node/datagrams.py
@@ -10,7 +10,8 @@
 
 import cbor2
 
-from jujubeyard import errors
+from jujubeyard import fields
+from jujubeyard.node import protocol
 from jujubeyard.ownership import demand
 from jujubeyard.ownership import table
 from jujubeyard.targets import loads
@@ -26,6 +27,8 @@
 LOADS = "loads"
 PERCENT = 100.0
 MILLISECONDS = 1000.0
+MAX_COUNT = 1_000_000_000
+MAX_WORK_SECONDS = 1e9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,33 +116,40 @@
     Raises:
         errors.FormatError: The datagram is malformed or of an unknown kind.
     """
+    with fields.reject_malformed("malformed datagram"):
+        kind, *parts = _load(data)
+        return DECODERS[kind](*parts)
+
+
+def _load(data: bytes) -> list:
+    """Returns the CBOR array that a datagram contains.
+
+    Raises:
+        ValueError: The datagram isn't a CBOR array.
+    """
     try:
-        kind, *fields = cbor2.loads(data)
-        if kind == REPORT:
-            return _decode_report(*fields)
-        if kind == UPDATE:
-            return _decode_update(*fields)
-        if kind == BEACON:
-            return _decode_beacon(*fields)
-        if kind == LOADS:
-            return _decode_loads(*fields)
-    except (
-        cbor2.CBORDecodeError,
-        ValueError,
-        TypeError,
-        AttributeError,
-        IndexError,
-    ) as exc:
-        raise errors.FormatError(f"malformed datagram: {exc!r}") from exc
-    raise errors.FormatError(f"unknown kind of datagram: {kind!r}")
+        message = cbor2.loads(data)
+    except cbor2.CBORDecodeError as exc:
+        raise ValueError(str(exc)) from exc
+    if not isinstance(message, list):
+        raise ValueError("not an array")
+    return message
 
 
 def _decode_report(service, calls, work) -> demand.Report:
     return demand.Report(
-        str(service),
-        {int(bucket): int(count) for bucket, count in calls.items()},
+        fields.check_name(service),
+        {
+            fields.check_integer(
+                bucket, maximum=demand.BUCKETS - 1
+            ): fields.check_integer(count, maximum=MAX_COUNT)
+            for bucket, count in calls.items()
+        },
         {
-            str(name): (int(count), float(seconds))
+            fields.check_name(name): (
+                fields.check_integer(count, maximum=MAX_COUNT),
+                fields.check_number(seconds, MAX_WORK_SECONDS),
+            )
             for name, (count, seconds) in work.items()
         },
     )
@@ -148,33 +158,50 @@
 def _decode_update(
     service, base, revision, parts, owners, rows
 ) -> table.Update:
-    decoded_owners = [table.Owner(*row) for row in owners]
+    decoded_owners = [table.decode_owner(row) for row in owners]
     shards = tuple(
-        table.Shard(first, last, decoded_owners[index], fence, "")
-        for first, last, index, fence in rows
+        table.decode_shard([*row, ""], decoded_owners) for row in rows
     )
     return table.Update(
-        str(service), int(base), int(revision), shards, int(parts)
+        fields.check_name(service),
+        fields.check_integer(base),
+        fields.check_integer(revision),
+        shards,
+        fields.check_integer(parts, 1, protocol.KEY_COUNT),
     )
 
 
 def _decode_beacon(tables, items) -> Beacon:
-    return Beacon(
-        {str(service): int(revision) for service, revision in tables.items()},
-        {str(prefix): int(revision) for prefix, revision in items.items()},
-    )
+    return Beacon(_decode_revisions(tables), _decode_revisions(items))
+
+
+def _decode_revisions(revisions) -> dict[str, int]:
+    return {
+        fields.check_name(name): fields.check_integer(revision)
+        for name, revision in revisions.items()
+    }
 
 
 def _decode_loads(rows) -> TargetLoads:
-    return TargetLoads(
-        tuple(
-            loads.AgedReport(
-                str(target_id),
-                loads.LoadReport(
-                    int(running), int(waiting), int(slots), slowness / PERCENT
-                ),
-                age / MILLISECONDS,
-            )
-            for target_id, running, waiting, slots, slowness, age in rows
-        )
+    return TargetLoads(tuple(_decode_aged_report(*row) for row in rows))
+
+
+def _decode_aged_report(
+    target_id, running, waiting, slots, slowness, age
+) -> loads.AgedReport:
+    report = loads.LoadReport(
+        fields.check_integer(running, maximum=MAX_COUNT),
+        fields.check_integer(waiting, maximum=MAX_COUNT),
+        fields.check_integer(slots, 1, MAX_COUNT),
+        fields.check_number(slowness, MAX_COUNT) / PERCENT,
     )
+    age_seconds = fields.check_number(age, MAX_COUNT) / MILLISECONDS
+    return loads.AgedReport(fields.check_name(target_id), report, age_seconds)
+
+
+DECODERS = {
+    REPORT: _decode_report,
+    UPDATE: _decode_update,
+    BEACON: _decode_beacon,
+    LOADS: _decode_loads,
+}
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import json
-import math
 import time
 
 from aiohttp import web
@@ -11,6 +10,7 @@
 from jujubeyard import bodies
 from jujubeyard import codes
 from jujubeyard import durations
+from jujubeyard import fields
 from jujubeyard import responses
 from jujubeyard.node import calls
 from jujubeyard.node import journal
@@ -207,9 +207,7 @@
         deadline_header = req.headers.get(self._header_names.deadline)
         if deadline_header is None:
             return DEFAULT_CALL_TIMEOUT_SECONDS
-        timeout_ms = float(deadline_header)
-        if not math.isfinite(timeout_ms):
-            raise ValueError(f"deadline {deadline_header} is not finite")
+        timeout_ms = fields.parse_finite(deadline_header)
         return timeout_ms / durations.MILLISECONDS_PER_SECOND
 
     def _parse_call(
@@ -224,9 +222,7 @@
         key_header = req.headers.get(header_names.key)
         key = None
         if key_header is not None:
-            key = int(key_header)
-            if not 0 <= key < protocol.KEY_COUNT:
-                raise ValueError(f"key {key} is out of range")
+            key = fields.parse_decimal(key_header, protocol.KEY_COUNT - 1)
         return calls.Call(
             call_id=req.headers.get(header_names.call_id, ""),
             method=req.method,
--- a/src/jujubeyard/ownership/ownership_client.py
+++ b/src/jujubeyard/ownership/ownership_client.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from jujubeyard import errors
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import table
 from jujubeyard.ownership import target_requests
@@ -124,7 +125,7 @@
         return await self._target_client.probe(self._session, service, owner)
 
     async def read_table(self, service: str) -> table.ShardTable | None:
-        """Returns the stored table, or None if the store can't be read.
+        """Returns the stored table, or None if it can't be read.
 
         A service without a stored table has an empty one with revision 0.
         """
@@ -134,7 +135,11 @@
         item = stored.ok_value
         if item is None:
             return table.ShardTable(service, (), 0)
-        return table.decode(service, item.value, item.revision)
+        try:
+            return table.decode(service, item.value, item.revision)
+        except errors.FormatError as exc:
+            self.log_event("shard table not usable", detail=exc.message)
+            return None
 
     async def write_table(
         self, new_table: table.ShardTable, leader_condition: interface.Condition
--- a/src/jujubeyard/ownership/table.py
+++ b/src/jujubeyard/ownership/table.py
@@ -1,11 +1,12 @@
 """The shard table: which target owns which keys of a service."""
 
 import bisect
+import collections.abc
 import dataclasses
 
 import cbor2
 
-from jujubeyard import errors
+from jujubeyard import fields
 from jujubeyard.node import protocol
 
 
@@ -193,15 +194,52 @@
     Raises:
         errors.FormatError: The stored value is malformed.
     """
-    try:
-        document = cbor2.loads(body)
-        owners = [Owner(*row) for row in document["owners"]]
-        shards = tuple(
-            Shard(first, last, owners[index], fence, handover)
-            for first, last, index, fence, handover in document["shards"]
-        )
-    except (cbor2.CBORDecodeError, KeyError, TypeError, IndexError) as exc:
-        raise errors.FormatError(
-            f"cannot decode the shard table of {service}: {exc!r}"
-        ) from exc
+    with fields.reject_malformed(f"shard table of {service}"):
+        try:
+            document = cbor2.loads(body)
+        except cbor2.CBORDecodeError as exc:
+            raise ValueError(str(exc)) from exc
+        owners = [decode_owner(row) for row in document["owners"]]
+        shards = tuple(decode_shard(row, owners) for row in document["shards"])
     return ShardTable(service, shards, revision)
+
+
+def decode_owner(row: collections.abc.Sequence) -> Owner:
+    """Parses an owner as tables and datagrams hold it.
+
+    Raises:
+        TypeError: A field has another type.
+        ValueError: A field is missing or out of range.
+    """
+    target_id, born, address = row
+    return Owner(
+        fields.check_name(target_id),
+        fields.check_integer(born),
+        fields.check_name(address),
+    )
+
+
+def decode_shard(
+    row: collections.abc.Sequence, owners: collections.abc.Sequence[Owner]
+) -> Shard:
+    """Parses a shard as tables and datagrams hold it.
+
+    Args:
+        row: First and last key, index of the owner, fence and handover.
+        owners: The owners of the table.
+
+    Raises:
+        TypeError: A field has another type.
+        ValueError: A field is missing or out of range.
+    """
+    first, last, index, fence, handover = row
+    fields.check_integer(first, maximum=protocol.KEY_COUNT - 1)
+    fields.check_integer(last, first, protocol.KEY_COUNT - 1)
+    fields.check_integer(index, maximum=len(owners) - 1)
+    return Shard(
+        first,
+        last,
+        owners[index],
+        fields.check_integer(fence),
+        fields.check_text(handover),
+    )
--- a/src/jujubeyard/platform/documents.py
+++ b/src/jujubeyard/platform/documents.py
@@ -6,6 +6,7 @@
 
 from jujubeyard import durations
 from jujubeyard import errors
+from jujubeyard import fields
 from jujubeyard.routing import config
 from jujubeyard.targets import loads
 from jujubeyard.targets import registry
@@ -22,8 +23,10 @@
 """Whether a target is draining, by the state in its listing."""
 
 PERCENT = 100.0
-PORT_LIMIT = 65536
-"""Ports are below this number."""
+MAX_PORT = 65535
+MAX_SLOTS = 1_000_000
+MAX_LOAD_CALLS = 1_000_000_000
+MAX_SLOWNESS_PERCENT = 1_000_000
 
 
 def parse_json_object(body: bytes) -> dict:
@@ -32,15 +35,18 @@
     Raises:
         errors.FormatError: The body is not JSON, or not an object.
     """
-    try:
-        document = json.loads(body)
-    except ValueError as exc:
-        raise errors.FormatError(f"document is not JSON: {exc}") from exc
+    with fields.reject_malformed("document is not JSON"):
+        document = json.loads(body, parse_constant=_reject_constant)
     if not isinstance(document, dict):
         raise errors.FormatError("document is not a JSON object")
     return document
 
 
+def _reject_constant(name: str) -> None:
+    """Rejects NaN and Infinity, which aren't JSON."""
+    raise ValueError(f"{name} is not a number")
+
+
 def parse_configuration(body: bytes) -> config.Configuration:
     """Parses the operator's configuration.
 
@@ -48,7 +54,7 @@
         errors.FormatError: The document is malformed, or a route refers to
             an unknown service.
     """
-    try:
+    with fields.reject_malformed("configuration"):
         document = parse_json_object(body)
         resources = _list_resources(document)
         services = {
@@ -56,11 +62,11 @@
         }
         routes = tuple(map(_parse_route, resources.routes))
         _check_service_names(routes, services)
-        version = int(document["version"].removeprefix("r"))
-        max_body = int(resources.limits.get("maxBodyBytes", 0))
+        version = fields.parse_decimal(
+            document["version"].removeprefix("r"), fields.MAX_INTEGER
+        )
+        max_body = fields.check_integer(resources.limits.get("maxBodyBytes", 0))
         return config.Configuration(version, routes, services, max_body)
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        raise errors.FormatError(f"configuration: {exc!r}") from exc
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,36 +127,38 @@
 
 def _parse_service(spec: dict) -> config.Service:
     return config.Service(
-        name=spec["name"],
+        name=fields.check_name(spec["name"]),
         keyed=bool(spec.get("sharded", False)),
-        max_connections=int(spec["maxConns"]),
+        max_connections=fields.check_integer(spec["maxConns"]),
         cold_seconds=durations.parse_seconds(spec.get("coldStart", "0s")),
-        cold_rate=float(spec.get("coldPerS", 0.0)),
-        health_path=str(spec.get("healthPath", "/")),
+        cold_rate=fields.check_number(spec.get("coldPerS", 0.0)),
+        health_path=fields.check_text(spec.get("healthPath", "/")),
     )
 
 
 def _parse_route(spec: dict) -> config.Route:
     if "trafficSplit" in spec:
         shares = tuple(
-            config.TrafficShare(part["service"], float(part["weight"]))
+            config.TrafficShare(
+                part["service"], fields.check_number(part["weight"])
+            )
             for part in spec["trafficSplit"]
         )
     else:
         shares = (config.TrafficShare(spec["service"], 1.0),)
-    prefix = spec["prefix"]
+    prefix = fields.check_text(spec["prefix"])
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise ValueError(f"prefix {prefix!r} must start and end with '/'")
     return config.Route(
-        name=spec["name"],
-        host=str(spec["host"]),
+        name=fields.check_name(spec["name"]),
+        host=fields.check_text(spec["host"]),
         prefix=prefix,
         shares=shares,
         idempotent=IDEMPOTENT_BY_KIND[spec["kind"]],
         timeout=durations.parse_seconds(spec["timeout"]),
         objective=durations.parse_seconds(spec["targetLatency"]),
-        max_targets=int(spec["maxAttempts"]),
-        urgency=int(spec["priority"]),
+        max_targets=fields.check_integer(spec["maxAttempts"]),
+        urgency=fields.check_integer(spec["priority"]),
     )
 
 
@@ -171,43 +179,29 @@
     Raises:
         errors.FormatError: The document is malformed.
     """
-    try:
+    with fields.reject_malformed(f"target {key[: fields.MAX_DETAIL_LENGTH]}"):
         document = parse_json_object(body)
         info, status = document["info"], document["status"]
-        born = (
-            _check_positive_int(document["born"]) if "born" in document else 0
-        )
+        born = 0
+        if "born" in document:
+            born = fields.check_integer(document["born"], minimum=1)
         return registry.Listing(
-            target_id=key.removeprefix(TARGET_PREFIX),
-            service=_check_name(info["service"]),
+            target_id=fields.check_name(key.removeprefix(TARGET_PREFIX)),
+            service=fields.check_name(info["service"]),
             address=_check_address(document["address"]),
-            zone=_check_name(info["zone"]),
-            slots=_check_positive_int(info["slots"]),
+            zone=fields.check_name(info["zone"]),
+            slots=fields.check_integer(info["slots"], 1, MAX_SLOTS),
             draining=DRAINING_BY_STATE[status["state"]],
             cold_seconds=durations.parse_seconds(status.get("coldLeft", "0s")),
             born=born,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        raise errors.FormatError(f"target {key}: {exc!r}") from exc
-
-
-def _check_name(value: object) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{value!r} is not a non-empty string")
-    return value
 
 
 def _check_address(value: str) -> str:
     host, _, port = value.rpartition(":")
     ipaddress.IPv4Address(host)
-    if not 0 < int(port) < PORT_LIMIT:
-        raise ValueError(f"port {port} is out of range")
-    return value
-
-
-def _check_positive_int(value: object) -> int:
-    if isinstance(value, bool) or not isinstance(value, int) or value < 1:
-        raise ValueError(f"{value!r} is not a positive integer")
+    if not fields.parse_decimal(port, MAX_PORT):
+        raise ValueError("port 0 is not an address")
     return value
 
 
@@ -218,9 +212,17 @@
     and optionally the slowness in percent, separated by commas.
     """
     try:
-        values = [float(part) for part in text.split(",")]
-        running, waiting, slots = (int(value) for value in values[:3])
+        return _parse_load_fields(text.split(","))
     except ValueError:
         return None
-    slowness = values[3] / PERCENT if len(values) > 3 else 1.0
+
+
+def _parse_load_fields(parts: list[str]) -> loads.LoadReport:
+    running, waiting, slots = (
+        fields.parse_decimal(part.strip(), MAX_LOAD_CALLS) for part in parts[:3]
+    )
+    slowness = 1.0
+    if len(parts) > 3:
+        percent = fields.parse_finite(parts[3])
+        slowness = fields.check_number(percent, MAX_SLOWNESS_PERCENT) / PERCENT
     return loads.LoadReport(running, waiting, max(slots, 1), slowness)
--- a/src/jujubeyard/platform/store.py
+++ b/src/jujubeyard/platform/store.py
@@ -3,8 +3,10 @@
 import asyncio
 import base64
 import collections.abc
+import functools
 import json
 import time
+import typing
 
 import aiohttp
 import result
@@ -12,9 +14,11 @@
 from jujubeyard import bodies
 from jujubeyard import durations
 from jujubeyard import errors
+from jujubeyard import fields
 from jujubeyard.platform import documents
 from jujubeyard.store import interface
 
+T = typing.TypeVar("T")
 HTTP_OK = 200
 ANSWER_SILENCE_SECONDS = 1.0
 """Longest pause within an answer. Its whole transfer may take longer, as that
@@ -94,10 +98,13 @@
             )
             if page.is_err():
                 return page
-            document = page.ok_value
-            revision = revision or document["storeRevision"]
-            items += [_decode_item(entry) for entry in document["items"]]
-            if not document["hasMore"] or not document["items"]:
+            decoded = _decode(_decode_page, page.ok_value)
+            if decoded.is_err():
+                return decoded
+            page_items, page_revision, has_more = decoded.ok_value
+            revision = revision or page_revision
+            items += page_items
+            if not has_more or not page_items:
                 return result.Ok(interface.ItemBatch(tuple(items), revision))
             after = items[-1].key
         return _make_failure(
@@ -110,7 +117,7 @@
         """Returns an item, or None if it does not exist."""
         outcome = await self._call("GET", "/kv-key", query={"key": key})
         if outcome.is_ok():
-            return result.Ok(_decode_item(outcome.ok_value))
+            return _decode(_decode_item, outcome.ok_value)
         # A missing key has the same status, 404, as an unknown lease.
         if outcome.err_value.kind is interface.FailureKind.NO_LEASE:
             return result.Ok(None)
@@ -139,12 +146,7 @@
             transfer=transfer,
             max_bytes=MAX_WATCH_BYTES,
         )
-        return outcome.map(
-            lambda document: interface.ItemBatch(
-                tuple(_decode_item(entry) for entry in document["events"]),
-                document["storeRevision"],
-            )
-        )
+        return outcome.and_then(functools.partial(_decode, _decode_events))
 
     async def write(
         self,
@@ -168,7 +170,9 @@
             "deletes": [],
         }
         outcome = await self._call("POST", "/kv-txn", document)
-        return outcome.map(lambda reply: reply["revision"])
+        return outcome.and_then(
+            functools.partial(_decode, _decode_number("revision"))
+        )
 
     async def open_lease(
         self, seconds: float
@@ -176,7 +180,9 @@
         """Creates a lease and returns its ID."""
         document = {"ttl_time": durations.format_seconds(seconds)}
         outcome = await self._call("POST", "/kv-lease", document)
-        return outcome.map(lambda reply: reply["lease"])
+        return outcome.and_then(
+            functools.partial(_decode, _decode_number("lease"))
+        )
 
     async def renew_lease(
         self, lease: int
@@ -282,10 +288,43 @@
     return result.Err(interface.Failure(kind, detail))
 
 
+def _decode(
+    decode_document: collections.abc.Callable[[dict], T], document: dict
+) -> result.Result[T, interface.Failure]:
+    """Decodes a reply; one that is malformed says nothing about the call."""
+    try:
+        with fields.reject_malformed("reply of the store"):
+            return result.Ok(decode_document(document))
+    except errors.FormatError as exc:
+        return _make_failure(interface.FailureKind.UNKNOWN, exc.message)
+
+
+def _decode_page(document: dict) -> tuple[list[interface.Item], int, bool]:
+    """Returns the items of a page, its revision and whether more follow."""
+    items = [_decode_item(entry) for entry in document["items"]]
+    revision = fields.check_integer(document["storeRevision"])
+    return items, revision, bool(document["hasMore"])
+
+
+def _decode_events(document: dict) -> interface.ItemBatch:
+    items = tuple(_decode_item(entry) for entry in document["events"])
+    return interface.ItemBatch(
+        items, fields.check_integer(document["storeRevision"])
+    )
+
+
+def _decode_number(name: str) -> collections.abc.Callable[[dict], int]:
+    """Returns a decoder of the number in a field of a reply."""
+    return lambda document: fields.check_integer(document[name])
+
+
 def _decode_item(entry: dict) -> interface.Item:
     value = None
     if not entry.get("removed"):
-        value = base64.b64decode(entry["value"])
+        value = base64.b64decode(entry["value"], validate=True)
     return interface.Item(
-        entry["key"], value, entry["revision"], entry.get("createdAt", 0)
+        fields.check_name(entry["key"]),
+        value,
+        fields.check_integer(entry["revision"]),
+        fields.check_integer(entry.get("createdAt", 0)),
     )
--- a/tests/ownership/test_table.py
+++ b/tests/ownership/test_table.py
@@ -11,7 +11,9 @@
 from jujubeyard.ownership import planner
 from jujubeyard.ownership import table
 
-OWNERS = [table.Owner(name, born, f"{name}:1") for name, born in ("a1", "b2")]
+OWNERS = [
+    table.Owner(name, born, f"{name}:1") for name, born in (("a", 1), ("b", 2))
+]
 
 
 def _table(count, revision=1):
