Send nothing to targets that say they are leaving or ask for a pause

Cause: nothing read Server-Leaving, nor a target's Retry-After. A target that left without reporting it kept getting calls until its listing vanished. Change: targets/notices reads both from every answer of a target (calls, grants, releases, health checks), whatever its status; an answer that names another target says nothing. The target's life is marked in the registry: a listing that says ready, one that is read anew or returns after an outage does not take the mark back, another life does.

--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -20,6 +20,7 @@
 from jujubeyard.routing import retries
 from jujubeyard.routing import split
 from jujubeyard.targets import loads
+from jujubeyard.targets import notices
 from jujubeyard.targets import registry
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -271,6 +272,7 @@
             The reply to the call, or None if another attempt may follow.
         """
         now = time.monotonic()
+        self._observe_notice(target, answer, now)
         header_names = self._header_names
         load_header = answer.headers.get(header_names.load)
         if load_header:
@@ -295,6 +297,23 @@
             return None
         return self._make_reply(answer)
 
+    def _observe_notice(
+        self, target: registry.Target, answer: upstream.Answer, now: float
+    ) -> None:
+        """Records what a target's answer announces about the target."""
+        target_id = target.listing.target_id
+        notice = notices.read_notice(
+            answer.status, answer.headers, target_id, self._header_names
+        )
+        if target.observe_notice(notice, now):
+            self._log.log_event("target says it is leaving", target=target_id)
+        if notice.pause_seconds:
+            self._log.log_call(
+                "target asks for a pause",
+                target=target_id,
+                seconds=round(notice.pause_seconds, 3),
+            )
+
     def _record_success(self, state, target, seconds: float) -> None:
         """Records the time of a successful call.
 
@@ -330,7 +349,10 @@
             target.listing.slots, now
         )
         objective = state.route.objective
-        state.retry_after = admission.retry_after(expected_seconds, objective)
+        state.retry_after = max(
+            admission.retry_after(expected_seconds, objective),
+            target.load.pause_seconds(now),
+        )
         if answer.status == MISDIRECTED_STATUS:
             state.latest_code = codes.ResultCode.MOVED
             state.retry_after = owners.MOVED_RETRY_SECONDS
--- a/src/jujubeyard/node/owners.py
+++ b/src/jujubeyard/node/owners.py
@@ -107,10 +107,14 @@
     def _may_still_own(self, target: registry.Target, now: float) -> bool:
         """Returns whether a target may receive calls for the keys it owns.
 
-        A target that is draining, was removed or is in an evacuated zone
-        receives them for only a fraction of the drain or evacuation limit.
+        A target that is draining, was removed, said that it is leaving or is
+        in an evacuated zone receives them for only a fraction of the drain or
+        evacuation limit.
         """
         limits = self._limits
+        drain_seconds = DRAIN_CALL_FRACTION * limits.drain
+        if target.leaving_since and now - target.leaving_since > drain_seconds:
+            return False
         evacuated_at = self._view.registry.evacuated_since.get(
             target.listing.zone
         )
@@ -121,9 +125,6 @@
             ):
                 return False
         unavailable_since = target.draining_since or target.removed_at
-        if (
-            unavailable_since
-            and now - unavailable_since > DRAIN_CALL_FRACTION * limits.drain
-        ):
+        if unavailable_since and now - unavailable_since > drain_seconds:
             return target.is_usable(now) and not target.draining_since
         return True
--- a/src/jujubeyard/node/placement_inputs.py
+++ b/src/jujubeyard/node/placement_inputs.py
@@ -90,10 +90,28 @@
     def observe_reply(
         self, owner: table.Owner, reply: target_requests.Reply
     ) -> None:
-        """Applies the load report that a target's reply carries, if any."""
+        """Applies what a target's reply says about the target."""
+        now = time.monotonic()
+        target = self._find_target(owner)
+        if target is None:
+            return
+        target.observe_notice(reply.notice, now)
+        if reply.report is not None:
+            target.load.observe_report(reply.report, now)
+
+    def pause_seconds(self, owner: table.Owner) -> float:
+        """Returns how long an owner still wants no requests, in seconds."""
+        target = self._find_target(owner)
+        if target is None:
+            return 0.0
+        return target.load.pause_seconds(time.monotonic())
+
+    def _find_target(self, owner: table.Owner) -> registry.Target | None:
+        """Returns the listed target if it is still the owner's incarnation."""
         target = self._view.registry.targets.get(owner.target_id)
-        if target is not None and reply.report is not None:
-            target.load.observe_report(reply.report, time.monotonic())
+        if target is None or target.listing.born != owner.born:
+            return None
+        return target
 
     def may_balance(self, service: str) -> bool:
         """Returns whether there is enough load data to balance shards."""
--- a/src/jujubeyard/node/protocol.py
+++ b/src/jujubeyard/node/protocol.py
@@ -21,6 +21,8 @@
         load: A target's report of its load.
         target: ID of the target that answers.
         handover: Data that the next owner of released keys needs.
+        leaving: Present on all answers of a target that is leaving.
+        pause: Seconds for which a target that refuses a call wants no more.
     """
 
     call_id: str
@@ -32,3 +34,5 @@
     load: str
     target: str
     handover: str
+    leaving: str
+    pause: str
--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -100,6 +100,7 @@
             )
             if target.listing.target_id not in state.tried_targets
             and self._view.registry.is_available(target, now)
+            and not target.load.pause_seconds(now)
             and admission.has_spare_connection(target, limit, nodes)
             and self._may_send_if_cold(state.service, target, now)
         ]
@@ -108,9 +109,26 @@
         )
         if target is None and not state.tried_targets:
             state.latest_code = codes.ResultCode.NO_TARGET
-            state.retry_after = attempts.NO_TARGET_RETRY_SECONDS
+            state.retry_after = max(
+                attempts.NO_TARGET_RETRY_SECONDS,
+                self._shortest_pause(state.service.name, now),
+            )
         return target
 
+    def _shortest_pause(self, service: str, now: float) -> float:
+        """Returns when the first target of a service ends its pause.
+
+        That is in 0.0 seconds if any isn't paused.
+        """
+        return min(
+            (
+                target.load.pause_seconds(now)
+                for target in self._view.registry.service_targets(service)
+                if self._view.registry.is_available(target, now)
+            ),
+            default=0.0,
+        )
+
     def _may_send_if_cold(
         self, service: config.Service, target: registry.Target, now: float
     ) -> bool:
@@ -133,6 +151,10 @@
             state.latest_code = codes.ResultCode.OVERLOADED
             state.retry_after = COLD_RETRY_SECONDS
             return False
+        if target.load.pause_seconds(now):
+            state.latest_code = codes.ResultCode.OVERLOADED
+            state.retry_after = target.load.pause_seconds(now)
+            return False
         if state.is_keyed and target.load.unreachable_until > now:
             state.latest_code = codes.ResultCode.TARGET_REFUSED
             state.retry_after = attempts.NO_TARGET_RETRY_SECONDS
--- a/src/jujubeyard/ownership/holds.py
+++ b/src/jujubeyard/ownership/holds.py
@@ -22,6 +22,9 @@
 """Factor by which a slow clock of a target may stretch a grant."""
 
 HOLD_MARGIN_SECONDS = 0.1
+MIN_REMAINING_SECONDS = 2.2
+"""Time until the latest expiry of a grant below which its renewal can't wait.
+The grant itself may expire by more than a second earlier."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,6 +94,17 @@
         for hold in self._holds_by_first.values():
             hold.renew_at = 0.0
 
+    def may_wait(self, first: int, now: float, seconds: float) -> bool:
+        """Returns whether a renewal may wait, without a risk to the grant.
+
+        Args:
+            first: First key of the shard.
+            now: Boot time.
+            seconds: How long to wait; 0.0 if there is no reason to.
+        """
+        remaining = self._holds_by_first[first].until - now
+        return seconds > 0.0 and remaining > MIN_REMAINING_SECONDS
+
     def start_grant(self, first: int, now: float, use_max_hold: bool) -> float:
         """Records a grant that is about to be sent.
 
--- a/src/jujubeyard/ownership/ownership_client.py
+++ b/src/jujubeyard/ownership/ownership_client.py
@@ -39,7 +39,7 @@
 
     async def probe(
         self, session: aiohttp.ClientSession, service: str, owner: table.Owner
-    ) -> target_requests.Outcome:
+    ) -> target_requests.Result:
         """Checks whether a target answers a health check."""
 
 
@@ -120,7 +120,7 @@
 
     async def probe(
         self, service: str, owner: table.Owner
-    ) -> target_requests.Outcome:
+    ) -> target_requests.Result:
         """Checks whether a target answers a health check."""
         return await self._target_client.probe(self._session, service, owner)
 
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -97,6 +97,9 @@
     ) -> None:
         """Updates the load of a target from its reply to a request."""
 
+    def pause_seconds(self, owner: table.Owner) -> float:
+        """Returns how long an owner still wants no requests, in seconds."""
+
     def may_balance(self, service: str) -> bool:
         """Returns whether enough calls were measured to balance loads."""
 
@@ -405,9 +408,16 @@
                 continue
             if not self._liveness.is_available(shard.owner):
                 continue
+            if not renewal_failed and self._may_wait(shard, now):
+                continue
             hold.is_sending = True
             self._start_task(self._grant(shard, hold))
 
+    def _may_wait(self, shard: table.Shard, now: float) -> bool:
+        """Returns whether a renewal may wait until its owner's pause ends."""
+        pause_seconds = self._cluster_state.pause_seconds(shard.owner)
+        return self._holds.may_wait(shard.first, now, pause_seconds)
+
     async def _grant(self, shard: table.Shard, hold: holds.Hold) -> None:
         try:
             await self._send_grant(shard, hold)
@@ -474,10 +484,12 @@
     async def _probe(self, owner: table.Owner) -> None:
         while self._liveness.is_unresponsive(owner) and not self._is_stopped:
             await asyncio.sleep(PROBE_SECONDS)
-            outcome = await self._client.probe(self.service, owner)
-            if outcome is target_requests.Outcome.DONE:
+            result = await self._client.probe(self.service, owner)
+            if result.reply is not None:
+                self._cluster_state.observe_reply(owner, result.reply)
+            if result.outcome is target_requests.Outcome.DONE:
                 self._liveness.record_reply(owner)
-            elif outcome is target_requests.Outcome.GONE:
+            elif result.outcome is target_requests.Outcome.GONE:
                 self._liveness.record_end(owner)
                 return
 
--- a/src/jujubeyard/ownership/target_requests.py
+++ b/src/jujubeyard/ownership/target_requests.py
@@ -8,6 +8,7 @@
 
 from jujubeyard.ownership import table
 from jujubeyard.targets import loads
+from jujubeyard.targets import notices
 
 HTTP_OK = 200
 HTTP_CONFLICT = 409
@@ -61,11 +62,13 @@
         status: HTTP status code.
         handover: State for the next owner of released keys; may be empty.
         report: The target's load; None if the reply doesn't contain it.
+        notice: What the target announces about itself.
     """
 
     status: int
     handover: str
     report: loads.LoadReport | None
+    notice: notices.Notice = notices.NO_NOTICE
 
 
 class Outcome(enum.Enum):
--- a/src/jujubeyard/platform/headers.py
+++ b/src/jujubeyard/platform/headers.py
@@ -12,6 +12,8 @@
     load="Jujubeyard-Instance-Load",
     target="Jujubeyard-Instance-Id",
     handover="Jujubeyard-Handover",
+    leaving="Server-Leaving",
+    pause="Retry-After",
 )
 
 READINESS_PATH = "/readiness"
--- a/src/jujubeyard/platform/target_client.py
+++ b/src/jujubeyard/platform/target_client.py
@@ -11,6 +11,7 @@
 from jujubeyard.ownership import target_requests
 from jujubeyard.platform import documents
 from jujubeyard.platform import headers
+from jujubeyard.targets import notices
 
 PROBE_TIMEOUT_SECONDS = 0.4
 MAX_BODY_BYTES = 64 * 1024
@@ -89,7 +90,7 @@
 
     async def probe(
         self, session: aiohttp.ClientSession, service: str, owner: table.Owner
-    ) -> target_requests.Outcome:
+    ) -> target_requests.Result:
         """Checks whether an owner's process still runs, healthy or not.
 
         Args:
@@ -110,34 +111,44 @@
                 f"http://{owner.address}{path}", timeout=timeout
             ) as resp:
                 await _read_body(resp)
-                target_id = resp.headers.get(headers.NAMES.target)
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            return target_requests.Outcome.UNKNOWN
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            unknown = target_requests.Outcome.UNKNOWN
+            return target_requests.Result(unknown, detail=repr(exc))
+        outcome = target_requests.Outcome.DONE
+        target_id = resp.headers.get(headers.NAMES.target)
         if target_id is not None and target_id != owner.target_id:
-            return target_requests.Outcome.GONE
-        return target_requests.Outcome.DONE
+            outcome = target_requests.Outcome.GONE
+        return target_requests.Result(outcome, _make_reply(resp, owner))
 
 
 async def _send(
     session, path, target, document, seconds
 ) -> target_requests.Reply:
-    names = headers.NAMES
     async with session.post(
         f"http://{target.address}{path}",
         data=json.dumps(document).encode(),
         headers={
             "Content-Type": "application/json",
-            names.expected_target: target.target_id,
+            headers.NAMES.expected_target: target.target_id,
         },
         timeout=aiohttp.ClientTimeout(total=seconds, sock_connect=seconds),
     ) as resp:
         await _read_body(resp)
-        load = resp.headers.get(names.load)
-        return target_requests.Reply(
-            resp.status,
-            resp.headers.get(names.handover, ""),
-            documents.parse_load_report(load) if load else None,
-        )
+        return _make_reply(resp, target)
+
+
+def _make_reply(
+    resp: aiohttp.ClientResponse, target: table.Owner
+) -> target_requests.Reply:
+    """Returns what the headers of a target's answer say."""
+    names = headers.NAMES
+    load = resp.headers.get(names.load)
+    return target_requests.Reply(
+        resp.status,
+        resp.headers.get(names.handover, ""),
+        documents.parse_load_report(load) if load else None,
+        notices.read_notice(resp.status, resp.headers, target.target_id, names),
+    )
 
 
 async def _read_body(resp: aiohttp.ClientResponse) -> None:
--- a/src/jujubeyard/targets/loads.py
+++ b/src/jujubeyard/targets/loads.py
@@ -143,6 +143,7 @@
         work: Processing times at this target.
         failure_rate: Smoothed share of calls that failed.
         unreachable_until: Time before which no new connection is tried.
+        paused_until: Time before which the target wants no requests.
         answer_bytes: Smoothed size of the target's answers.
         avoid_until: Time before which the target is only chosen if there is
             no other.
@@ -162,6 +163,7 @@
     failure_rate: float = 0.0
     avoid_until: float = 0.0
     unreachable_until: float = 0.0
+    paused_until: float = 0.0
     answer_bytes: float = 0.0
 
     def observe_report(self, report: LoadReport, now: float) -> None:
@@ -198,6 +200,19 @@
         self.failure_rate -= FAILURE_SMOOTHING * self.failure_rate
         return work
 
+    def pause(self, seconds: float, now: float) -> None:
+        """Records that the target wants no requests for a time.
+
+        Args:
+            seconds: Length of the pause.
+            now: Monotonic time, in seconds.
+        """
+        self.paused_until = max(self.paused_until, now + seconds)
+
+    def pause_seconds(self, now: float) -> float:
+        """Returns how long the target still wants no requests, in seconds."""
+        return max(0.0, self.paused_until - now)
+
     def observe_size(self, size: int) -> None:
         """Records the size of an answer, in bytes."""
         self.answer_bytes += ANSWER_SIZE_SMOOTHING * (size - self.answer_bytes)
--- a/src/jujubeyard/targets/registry.py
+++ b/src/jujubeyard/targets/registry.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from jujubeyard.targets import loads
+from jujubeyard.targets import notices
 
 RELIST_SECONDS = 2.0
 """Time from the end of a store outage until targets whose listings expired
@@ -19,6 +20,10 @@
 RETENTION_SECONDS = 60.0
 """Time for which a removed target is remembered."""
 
+LEAVING_RETENTION_SECONDS = 3600.0
+"""That time for one that said that it is leaving. Its listing may return after
+an outage of the store, with another state."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
@@ -61,6 +66,8 @@
         usable_until: Time until which it may be used while it isn't listed.
         draining_since: When it may have begun to drain; 0.0 if it isn't
             draining.
+        leaving_since: When it first said itself that it is leaving; 0.0 if it
+            didn't. Only another incarnation takes that back.
         load: Estimated load of the target.
     """
 
@@ -70,12 +77,29 @@
     removed_at: float = 0.0
     usable_until: float = 0.0
     draining_since: float = 0.0
+    leaving_since: float = 0.0
     load: loads.TargetLoad = dataclasses.field(default_factory=loads.TargetLoad)
 
     def is_cold(self, now: float) -> bool:
         """Returns whether the target is cold."""
         return now < self.cold_until
 
+    def observe_notice(self, notice: notices.Notice, now: float) -> bool:
+        """Records what the target announces about itself.
+
+        Args:
+            notice: The announcement.
+            now: Monotonic time, in seconds.
+
+        Returns:
+            Whether the target said for the first time that it is leaving.
+        """
+        self.load.pause(notice.pause_seconds, now)
+        if not notice.is_leaving or self.leaving_since:
+            return False
+        self.leaving_since = now
+        return True
+
     def is_usable(self, now: float) -> bool:
         """Returns whether the target is listed or within the grace period."""
         return not self.removed_at or now < self.usable_until
@@ -211,7 +235,8 @@
         expired = [
             target_id
             for target_id, target in self.targets.items()
-            if target.removed_at and now - target.removed_at > RETENTION_SECONDS
+            if target.removed_at
+            and now - target.removed_at > _retention_seconds(target)
         ]
         for target_id in expired:
             del self.targets[target_id]
@@ -233,6 +258,14 @@
         """Returns whether a target may be given new work."""
         return (
             not target.draining_since
+            and not target.leaving_since
             and target.listing.zone not in self.evacuated_since
             and target.is_usable(now)
         )
+
+
+def _retention_seconds(target: Target) -> float:
+    """Returns how long a target is remembered once it was removed."""
+    if target.leaving_since:
+        return LEAVING_RETENTION_SECONDS
+    return RETENTION_SECONDS
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -452,3 +452,85 @@
     reply = await harness.serve("unknown")
     assert reply.status == status
     assert (reply.retry_after > 0.0) is is_outdated
+
+
+LEAVING = {"X_Leaving": "1"}
+PAUSE = {"Retry_After": "5", "X_Not_Run": "1"}
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param(make_answer(**LEAVING), id="success"),
+        pytest.param(make_answer(500, **LEAVING), id="error"),
+        pytest.param(
+            make_answer(503, X_Not_Run="1", signed=False, **LEAVING),
+            id="refusal",
+        ),
+        pytest.param(
+            make_answer(call_id="c9", **LEAVING), id="answer to another call"
+        ),
+    ],
+)
+async def test_target_that_says_it_is_leaving_gets_no_further_call(
+    harness, answer
+):
+    harness.add_target("t1")
+    harness.client.script = [answer]
+    await harness.serve("order")
+    harness.add_target("t1")
+    reply = await harness.serve("order")
+    assert reply.code is codes.ResultCode.NO_TARGET
+    assert len(harness.client.sent) == 1
+
+
+async def test_owner_that_says_it_is_leaving_gets_calls_only_within_the_limit(
+    harness,
+):
+    target = harness.add_target("t1", "desk")
+    harness.set_owner("t1")
+    harness.client.script = [make_answer(**LEAVING), make_answer()]
+    assert (await harness.serve("lookup", key=1)).status == 200
+    assert (await harness.serve("lookup", key=1)).status == 200
+    target.leaving_since -= LIMITS.drain
+    harness.add_target("t1", "desk")
+    reply = await harness.serve("lookup", key=1)
+    assert reply.code is codes.ResultCode.NOT_READY
+    harness.add_target("t1", "desk", born=2)
+    harness.set_owner("t1", born=2, revision=2)
+    harness.client.script = [make_answer()]
+    assert (await harness.serve("lookup", key=1)).status == 200
+
+
+@pytest.mark.parametrize(
+    ("route", "key"), [("read", None), ("order", None), ("lookup", 1)]
+)
+async def test_target_that_asks_for_a_pause_gets_no_call_until_its_end(
+    harness, route, key
+):
+    service = "pool" if key is None else "desk"
+    target = harness.add_target("t1", service)
+    harness.set_owner("t1")
+    harness.client.script = [make_answer(503, signed=False, **PAUSE)]
+    for _ in range(4):
+        reply = await harness.serve(route, key=key)
+        assert reply.status in (429, 503)
+        assert 4.5 < reply.retry_after <= 5.0
+    assert len(harness.client.sent) == 1
+    target.load.paused_until -= 5.0
+    target.load.avoid_until = 0.0
+    harness.client.script = [make_answer()]
+    assert (await harness.serve(route, key=key)).status == 200
+
+
+async def test_call_goes_elsewhere_while_a_target_asks_for_a_pause(harness):
+    harness.add_target("t1")
+    harness.add_target("t2")
+    harness.client.script = [
+        make_answer(503, signed=False, **PAUSE),
+        *(make_answer() for _ in range(5)),
+    ]
+    for _ in range(5):
+        assert (await harness.serve("order")).status == 200
+    paused = harness.client.sent[0].address
+    assert [call.address for call in harness.client.sent].count(paused) == 1
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -19,6 +19,8 @@
     load="X-Load",
     target="X-Target",
     handover="X-Handover",
+    leaving="X-Leaving",
+    pause="Retry-After",
 )
 ANSWERED = upstream.SendOutcome.ANSWERED
 BROKEN = upstream.SendOutcome.BROKEN
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -47,7 +47,7 @@
 async def _request(client, address: str, operation: str):
     owner = table.Owner("t1", 1, address)
     if operation == "probe":
-        return await client.probe("desk", owner)
+        return (await client.probe("desk", owner)).outcome
     if operation == "grant":
         grant = target_requests.GrantRequest(owner, 0, 9, 1, 1.0, "")
         return (await client.grant(grant, 1.0)).outcome
--- a/tests/targets/test_registry.py
+++ b/tests/targets/test_registry.py
@@ -7,6 +7,7 @@
 import pytest
 
 from jujubeyard.targets import loads
+from jujubeyard.targets import notices
 from jujubeyard.targets import registry
 
 OUTAGE_SECONDS = 5.0
@@ -206,3 +207,50 @@
         work.observe("desk", route, 0.4)
     assert work.relative_work("desk", "first", 0.4) == 0.0
     assert work.relative_work("desk", "third", 0.4) == 1.0
+
+
+@pytest.mark.parametrize(
+    ("change", "is_available"),
+    [
+        pytest.param(lambda r: None, False, id="listing unchanged"),
+        pytest.param(
+            lambda r: r.put(_listing(cold_seconds=1.0), 12.0),
+            False,
+            id="listed as ready",
+        ),
+        pytest.param(
+            lambda r: (r.remove("t1", 12.0), r.put(LISTING, 13.0)),
+            False,
+            id="removed and listed again",
+        ),
+        pytest.param(
+            lambda r: (
+                r.keep_only(set(), 12.0),
+                r.purge_removed(500.0),
+                r.put(LISTING, 501.0),
+            ),
+            False,
+            id="listed again minutes later",
+        ),
+        pytest.param(
+            lambda r: r.put(_listing(born=8), 12.0), True, id="new life"
+        ),
+    ],
+)
+def test_target_that_said_it_is_leaving_is_not_used_again(change, is_available):
+    target_registry = _make_registry()
+    target = target_registry.targets["t1"]
+    assert target.observe_notice(notices.Notice(is_leaving=True), 11.0)
+    assert not target.observe_notice(notices.Notice(is_leaving=True), 11.5)
+    change(target_registry)
+    target = target_registry.targets["t1"]
+    assert target_registry.is_available(target, 502.0) is is_available
+
+
+def test_late_notice_of_an_earlier_life_does_not_count_for_the_next():
+    target_registry = _make_registry()
+    earlier = target_registry.targets["t1"]
+    target_registry.put(_listing(born=8), 12.0)
+    earlier.observe_notice(notices.Notice(is_leaving=True), 13.0)
+    target = target_registry.targets["t1"]
+    assert target_registry.is_available(target, 13.0)
--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -216,8 +216,8 @@
 
     async def probe(self, _, service: str, owner: table.Owner):
         if self.targets[owner.target_id].is_unresponsive:
-            return target_requests.Outcome.UNKNOWN
-        return target_requests.Outcome.DONE
+            return target_requests.Result(target_requests.Outcome.UNKNOWN)
+        return target_requests.Result(target_requests.Outcome.DONE)
 
     def _find_responsive_target(self, request) -> FakeTarget:
         target = self.targets[request.target.target_id]
@@ -239,11 +239,13 @@
     Attributes:
         available_owners: Owners offered as candidates.
         ended_owners: Owners whose incarnation has ended.
+        pauses: Seconds for which targets want no requests, by target.
     """
 
     def __init__(self):
         self.available_owners: list[table.Owner] = []
         self.ended_owners: set[table.Owner] = set()
+        self.pauses: dict[str, float] = {}
 
     def candidates(self, service: str) -> list[planner.Candidate]:
         return [
@@ -262,6 +264,9 @@
     def shard_rates(self, shard_table: table.ShardTable) -> list[float]:
         return [1.0] * len(shard_table.shards)
 
+    def pause_seconds(self, owner) -> float:
+        return self.pauses.get(owner.target_id, 0.0)
+
     def observe_reply(self, owner, reply) -> None:
         pass
 
