Bound the time of a service's calls by the routes that get calls

Targets accept fewer connections while their queue is long and reset the others: 3,665 calls to jobs ended that way, in bunches at the same millisecond at a target, 1,559 calls that may be repeated among them. Change: one bound for all calls of a service, from the routes that got calls in the last ten seconds: twice the mean objective of the calls, and 0.8 of the shortest timeout at most. The table of should_refuse gives the bound itself; its cases are the same.

--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -11,6 +11,7 @@
 from jujubeyard.node import settings
 from jujubeyard.routing import admission
 from jujubeyard.routing import balancing
+from jujubeyard.routing import bounds
 from jujubeyard.routing import coldstart
 from jujubeyard.routing import config
 from jujubeyard.targets import loads
@@ -52,6 +53,7 @@
             cfg.node, rate_limit
         )
         self._rng = random.Random()
+        self._call_bounds = bounds.CallBounds()
         self.route_work = loads.RouteWork()
 
     def record_call(self, target: registry.Target, now: float) -> None:
@@ -166,15 +168,13 @@
             target.listing.slots, now, relative_work
         )
         objective = state.route.objective
-        longest_objective = self._view.routes.longest_objectives.get(
-            service.name, objective
-        )
+        bound = self._call_bounds.observe(service.name, state.route, now)
         nodes = self._view.node_count()
         is_full = not admission.has_spare_connection(
             target, service.max_connections, nodes
         )
         if is_full or admission.should_refuse(
-            expected_seconds, longest_objective, state.remaining_seconds()
+            expected_seconds, bound, state.remaining_seconds()
         ):
             state.latest_code = codes.ResultCode.OVERLOADED
             state.retry_after = admission.retry_after(
@@ -189,7 +189,7 @@
                 relative_work=round(relative_work, 3),
                 left=round(state.remaining_seconds(), 3),
                 objective=objective,
-                longest_objective=longest_objective,
+                bound=round(bound, 3),
                 report=repr(target.load.report),
                 report_age=round(now - target.load.reported_at, 3),
             )
--- a/src/jujubeyard/routing/admission.py
+++ b/src/jujubeyard/routing/admission.py
@@ -6,12 +6,6 @@
 
 from jujubeyard.targets import registry
 
-MAX_LATENCY_FACTOR = 2.0
-"""Multiple of the longest latency objective of a service's routes above which
-calls are refused. The bound is the same for all routes, since their calls wait
-in the same queues: one with a shorter objective would be refused throughout an
-overload that calls of the others keep up."""
-
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 1.0
 CONNECTION_SHARE = 0.8
@@ -19,18 +13,16 @@
 
 
 def should_refuse(
-    expected_seconds: float, longest_objective: float, remaining: float
+    expected_seconds: float, bound_seconds: float, remaining: float
 ) -> bool:
     """Returns whether a call should be refused as too slow.
 
     Args:
         expected_seconds: Estimated duration of the call, in seconds.
-        longest_objective: Longest latency objective of the routes to the
-            service, in seconds.
+        bound_seconds: How long calls to the service may take, in seconds.
         remaining: Time until the deadline of the call, in seconds.
     """
-    limit = min(MAX_LATENCY_FACTOR * longest_objective, remaining)
-    return expected_seconds > limit
+    return expected_seconds > min(bound_seconds, remaining)
 
 
 def retry_after(expected_seconds: float, objective: float) -> float:
--- a/src/jujubeyard/routing/match.py
+++ b/src/jujubeyard/routing/match.py
@@ -8,26 +8,15 @@
 
     Attributes:
         configuration: The configuration that the table was built from.
-        longest_objectives: For each service, the longest latency objective of
-            the routes to it, in seconds.
     """
 
     def __init__(self, configuration: config.Configuration):
         self.configuration = configuration
-        self.longest_objectives: dict[str, float] = {}
         self._routes_by_host: dict[str, dict[str, config.Route]] = {}
         for route in configuration.routes:
-            self._add_objective(route)
             prefixes = self._routes_by_host.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route
 
-    def _add_objective(self, route: config.Route) -> None:
-        for share in route.shares:
-            longest = self.longest_objectives.get(share.service, 0.0)
-            self.longest_objectives[share.service] = max(
-                longest, route.objective
-            )
-
     def find(self, host: str, path: str) -> config.Route | None:
         """Returns the route with the longest matching prefix, if any.
 
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -8,6 +8,8 @@
 import pytest
 
 from jujubeyard.routing import admission
+from jujubeyard.routing import bounds as call_bounds
+from jujubeyard.routing import config
 from jujubeyard.targets import loads
 
 SLOTS = 3
@@ -27,6 +29,20 @@
     deadline_seconds: float
 
 
+def _make_config(route: Route) -> config.Route:
+    return config.Route(
+        name=route.name,
+        host="a.example",
+        prefix=f"/{route.name}/",
+        shares=(config.TrafficShare("desk", 1.0),),
+        idempotent=True,
+        timeout=route.deadline_seconds,
+        objective=route.objective,
+        max_targets=2,
+        urgency=1,
+    )
+
+
 class Target:
     """Runs calls in the order of their arrival."""
 
@@ -56,6 +72,7 @@
     """Returns the share of calls by route that ended before their deadline."""
     rng = random.Random(15)
     target = Target()
+    bounds = call_bounds.CallBounds()
     mean_gap = first.work_seconds / SLOTS / OVERLOAD
     sent: collections.Counter = collections.Counter()
     served: collections.Counter = collections.Counter()
@@ -68,9 +85,9 @@
         expected = target.load.expected_seconds(
             SLOTS, now, route.work_seconds / first.work_seconds
         )
-        longest_objective = max(first.objective, added.objective)
+        call_bound = bounds.observe("desk", _make_config(route), now)
         if admission.should_refuse(
-            expected, longest_objective, route.deadline_seconds
+            expected, call_bound, route.deadline_seconds
         ):
             continue
         ended_at = target.add(now, route.work_seconds)
--- a/tests/routing/test_routing_tables.py
+++ b/tests/routing/test_routing_tables.py
@@ -126,18 +126,18 @@
 
 
 @pytest.mark.parametrize(
-    ("expected", "longest_objective", "remaining", "refused"),
+    ("expected", "bound", "remaining", "refused"),
     [
-        (0.2, 0.5, 2.0, False),
-        (1.01, 0.5, 2.0, True),
-        (1.0, 0.5, 2.0, False),
-        (0.4, 0.5, 0.3, True),
+        (0.2, 1.0, 2.0, False),
+        (1.01, 1.0, 2.0, True),
+        (1.0, 1.0, 2.0, False),
+        (0.4, 1.0, 0.3, True),
     ],
 )
 def test_calls_expected_to_be_too_slow_are_refused(
-    expected, longest_objective, remaining, refused
+    expected, bound, remaining, refused
 ):
-    is_refused = admission.should_refuse(expected, longest_objective, remaining)
+    is_refused = admission.should_refuse(expected, bound, remaining)
     assert is_refused is refused
 
 
