Read changes of targets less often, and end watches within the store's history

A watch of 20 s without changes ends with 410, since the store keeps 20 s of history, and all items are read again (20 of 410 and 36 reads for the nodes' list alone). The start of 21 nodes takes 343 calls. Watches are 17 s long.

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -57,7 +57,10 @@
 CLEANUP_INTERVAL_SECONDS = 5.0
 TASK_RESTART_SECONDS = 0.2
 OPERATOR_BATCH_SECONDS = 0.4
-TARGETS_BATCH_SECONDS = 0.5
+TARGETS_BATCH_DRAIN_SHARE = 0.4
+"""Delay after a change of the targets, as a share of the drain limit. Targets
+that are cold update their listings each second."""
+
 FLEET_BATCH_SECONDS = 0.3
 """Delays after a change in the store, so that changes in quick succession are
 read with one store call."""
@@ -184,7 +187,10 @@
             )
             for prefix, pause in (
                 (prefixes.operator, OPERATOR_BATCH_SECONDS),
-                (prefixes.targets, TARGETS_BATCH_SECONDS),
+                (
+                    prefixes.targets,
+                    TARGETS_BATCH_DRAIN_SHARE * cfg.limits.drain,
+                ),
                 (prefixes.fleet, FLEET_BATCH_SECONDS),
             )
         ]
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -11,7 +11,10 @@
 from jujubeyard.store import hedging
 from jujubeyard.store import interface
 
-WATCH_SECONDS = 20.0
+WATCH_SECONDS = 17.0
+"""Less than the 20 s of history that the store keeps: a watch that ends without
+changes then returns a revision from which the next one can go on."""
+
 SHORT_WATCH_SECONDS = 0.5
 """Duration of a watch after a failure. It is short, because a watch that is
 started while the store is unresponsive never gets a reply."""
