Take the shortest timeout out of the bound, begin pipelined calls early

A few calls of an added route with 1 s until its deadline made targets refuse nearly all calls whose work alone takes 0.8 s. The bound by the mean objective stays. Calls without a body on routes that may be repeated now begin when they arrive, at most 4 a connection and 8 a node; answers stay in order. In a shutdown the connection is closed behind the last call that was begun. The server is aiohttp's low-level one, without the application's router.

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -241,7 +241,10 @@
             self._reporter,
         )
         self._server = server.CallerServer(
-            self._forwarder.serve, header_names, log
+            self._forwarder.serve,
+            header_names,
+            log,
+            self._forwarder.is_idempotent,
         )
         self._tasks: list[asyncio.Task] = []
         self._is_shutting_down = False
@@ -284,7 +287,7 @@
         """
         started_at = time.monotonic()
         self._is_shutting_down = True
-        self._server.is_shutting_down = True
+        self._server.begin_shutdown()
         await asyncio.gather(
             self._leadership.resign(), self._registration.end()
         )
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -128,6 +128,14 @@
         self._record_reply(state, reply)
         return reply
 
+    def is_idempotent(self, call: calls.Call) -> bool:
+        """Returns whether the route of a call allows that it runs again."""
+        if self._view.routes is None:
+            return False
+        path = call.path.partition("?")[0]
+        route = self._view.routes.find(call.host, path)
+        return route is not None and route.idempotent
+
     def _reply_without_route(self, call: calls.Call, path: str) -> calls.Reply:
         """Returns the reply to a call that matches no route.
 
--- /dev/null
+++ b/src/jujubeyard/node/pipelining.py
@@ -0,0 +1,125 @@
+"""HTTP server that serves pipelined requests of a connection concurrently.
+
+A caller may send requests before earlier ones on its connection are answered.
+The server answers them in order, but begins their calls as they arrive.
+"""
+
+import asyncio
+import collections.abc
+
+from aiohttp import http
+from aiohttp import streams
+from aiohttp import web
+from aiohttp import web_protocol
+
+from jujubeyard.node import calls
+
+MAX_EARLY_PER_CONNECTION = 4
+MAX_EARLY_CALLS = 8
+"""Largest number of early calls of all connections. Their answers are held in
+memory until their turn."""
+
+EARLY_METHODS = frozenset({"GET", "HEAD"})
+
+StartCall = collections.abc.Callable[
+    [http.RawRequestMessage], collections.abc.Coroutine | None
+]
+
+
+class PipeliningServer(web.Server):
+    """Server whose connections begin calls while earlier ones are in progress.
+
+    Attributes:
+        early_count: Number of early calls whose answers aren't sent yet.
+        is_starting_early: Whether further calls are begun early.
+    """
+
+    def __init__(self, handler, start_call: StartCall, **options):
+        """Initializes a server.
+
+        Args:
+            handler: Answers requests, in their order.
+            start_call: Returns a coroutine that serves the call in a request,
+                or None if the call must wait for its turn.
+            **options: Options of the base class.
+        """
+        super().__init__(handler, **options)
+        self.start_call = start_call
+        self.early_count = 0
+        self.is_starting_early = True
+
+    def __call__(self) -> "Connection":
+        """Returns the handler of a new connection."""
+        return Connection(self, loop=self._loop, **self._kwargs)
+
+
+class Connection(web_protocol.RequestHandler):
+    """Connection of a caller."""
+
+    __slots__ = ("_early_calls", "_server")
+
+    def __init__(self, server: PipeliningServer, **options):
+        super().__init__(server, **options)
+        self._server = server
+        self._early_calls: dict[int, asyncio.Task[calls.Reply]] = {}
+
+    def data_received(self, data: bytes) -> None:
+        """Parses requests, and begins calls that may run early."""
+        super().data_received(data)
+        if self._current_request is not None and self._messages:
+            self._start_calls()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancels the early calls, whose answers nobody awaits any more."""
+        super().connection_lost(exc)
+        for message_id in list(self._early_calls):
+            self._forget(message_id).cancel()
+
+    def has_early_calls(self) -> bool:
+        """Returns whether answers to early calls are still to be sent."""
+        return bool(self._early_calls)
+
+    def take_early_call(
+        self, req: web.BaseRequest
+    ) -> asyncio.Task[calls.Reply] | None:
+        """Returns the early call of a request whose turn it is, if any."""
+        if id(req._message) not in self._early_calls:
+            return None
+        return self._forget(id(req._message))
+
+    def _forget(self, message_id: int) -> asyncio.Task[calls.Reply]:
+        self._server.early_count -= 1
+        return self._early_calls.pop(message_id)
+
+    def _start_calls(self) -> None:
+        """Begins the calls of waiting requests, up to the first that can't."""
+        if not _is_followed(self._current_request._message):
+            return
+        if not self._current_request.content.is_eof():
+            return
+        for message, payload in self._messages:
+            if id(message) not in self._early_calls:
+                if not self._may_start(message, payload):
+                    return
+                coro = self._server.start_call(message)
+                if coro is None:
+                    return
+                self._server.early_count += 1
+                self._early_calls[id(message)] = self._loop.create_task(coro)
+            if not _is_followed(message):
+                return
+
+    def _may_start(self, message, payload) -> bool:
+        return (
+            self._server.is_starting_early
+            and len(self._early_calls) < MAX_EARLY_PER_CONNECTION
+            and self._server.early_count < MAX_EARLY_CALLS
+            and isinstance(message, http.RawRequestMessage)
+            and message.method in EARLY_METHODS
+            and payload is streams.EMPTY_PAYLOAD
+        )
+
+
+def _is_followed(message) -> bool:
+    """Returns whether requests behind a request are answered as well."""
+    return not getattr(message, "should_close", True)
--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -168,7 +168,7 @@
             target.listing.slots, now, relative_work
         )
         objective = state.route.objective
-        bound = self._call_bounds.observe(service.name, state.route, now)
+        bound = self._call_bounds.observe(service.name, objective)
         nodes = self._view.node_count()
         is_full = not admission.has_spare_connection(
             target, service.max_connections, nodes
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -5,6 +5,7 @@
 import json
 import time
 
+from aiohttp import http
 from aiohttp import web
 
 from jujubeyard import bodies
@@ -14,6 +15,7 @@
 from jujubeyard import responses
 from jujubeyard.node import calls
 from jujubeyard.node import journal
+from jujubeyard.node import pipelining
 from jujubeyard.node import protocol
 from jujubeyard.node import settings
 
@@ -58,8 +60,6 @@
 
     Attributes:
         active: Number of calls in progress.
-        is_shutting_down: Whether each connection is closed after its next
-            answer.
         is_refusing_calls: Whether new calls are refused.
     """
 
@@ -68,6 +68,7 @@
         handle_call: CallHandler,
         header_names: protocol.HeaderNames,
         log: journal.Journal,
+        may_repeat: collections.abc.Callable[[calls.Call], bool],
     ):
         """Initializes the server; it listens once it is started.
 
@@ -75,23 +76,24 @@
             handle_call: Returns the reply to a call.
             header_names: Names of the protocol's headers.
             log: The log.
+            may_repeat: Returns whether a call may run more than once.
         """
+        self._may_repeat = may_repeat
         self._handle_call = handle_call
         self._log = log
         self._header_names = header_names
         self.active = 0
-        self.is_shutting_down = False
         self.is_refusing_calls = False
+        self._is_shutting_down = False
         self._site: web.TCPSite | None = None
         self._call_limits: set[asyncio.Timeout] = set()
         self._body_reader = bodies.BodyReader(
             MAX_BODY_BYTES, MAX_BUFFERED_BYTES
         )
         self._writer = responses.ResponseWriter(self._log_abandoned)
-        app = web.Application()
-        app.router.add_route("*", "/{path:.*}", self._handle_request)
-        self._runner = web.AppRunner(
-            app,
+        self._server = pipelining.PipeliningServer(
+            self._handle_request,
+            self._start_early_call,
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=IDLE_TIMEOUT_SECONDS,
@@ -99,6 +101,7 @@
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
+        self._runner = web.ServerRunner(self._server)
 
     async def start(self, address: settings.Address) -> None:
         """Starts to listen on an address."""
@@ -122,7 +125,12 @@
         """Returns whether every call that was read has been answered."""
         return all(map(_is_idle, self._runner.server.connections))
 
-    async def _handle_request(self, req: web.Request) -> web.StreamResponse:
+    def begin_shutdown(self) -> None:
+        """Makes each connection close once its calls are answered."""
+        self._is_shutting_down = True
+        self._server.is_starting_early = False
+
+    async def _handle_request(self, req: web.BaseRequest) -> web.StreamResponse:
         """Answers a request, which counts as active until then."""
         self.active += 1
         try:
@@ -131,35 +139,57 @@
         finally:
             self.active -= 1
 
-    async def _answer_request(self, req: web.Request) -> web.StreamResponse:
+    async def _answer_request(self, req: web.BaseRequest) -> web.Response:
+        early_call = req.protocol.take_early_call(req)
+        if early_call is not None:
+            return self._make_response(req, await early_call)
         try:
-            timeout_seconds = self._parse_timeout(req)
+            timeout_seconds = self._parse_timeout(req.headers)
         except ValueError:
-            return self._refuse_body(codes.ResultCode.BAD_REQUEST)
+            return self._refuse_body(req, codes.ResultCode.BAD_REQUEST)
         body = await self._body_reader.read_request(
             req.content, timeout_seconds
         )
         if body.is_err():
-            return self._refuse_body(body.err_value)
+            return self._refuse_body(req, body.err_value)
         with self._body_reader.hold(body.ok_value):
             return await self._answer_call(req, body.ok_value, timeout_seconds)
 
+    def _start_early_call(
+        self, message: http.RawRequestMessage
+    ) -> collections.abc.Coroutine[None, None, calls.Reply] | None:
+        """Returns the call in a request that has to wait for its turn.
+
+        Returns:
+            A coroutine that serves the call, or None if it is malformed or may
+            not run more than once: the caller sends it again if the connection
+            ends before its turn.
+        """
+        try:
+            timeout_seconds = self._parse_timeout(message.headers)
+            call = self._parse_call(message, b"", timeout_seconds)
+        except ValueError:
+            return None
+        if not self._may_repeat(call):
+            return None
+        return self._serve_call(call)
+
     async def _answer_call(
-        self, req: web.Request, body: bytes, timeout_seconds: float
+        self, req: web.BaseRequest, body: bytes, timeout_seconds: float
     ) -> web.Response:
         """Returns the response to a request whose body was read."""
         if self.is_refusing_calls:
             code = codes.ResultCode.SHUTTING_DOWN
             return self._make_response(
-                calls.make_error_reply(code, SHUTDOWN_RETRY_SECONDS)
+                req, calls.make_error_reply(code, SHUTDOWN_RETRY_SECONDS)
             )
         try:
-            call = self._parse_call(req, body, timeout_seconds)
+            call = self._parse_call(req._message, body, timeout_seconds)
         except ValueError:
             return self._make_response(
-                calls.make_error_reply(codes.ResultCode.BAD_REQUEST)
+                req, calls.make_error_reply(codes.ResultCode.BAD_REQUEST)
             )
-        return self._make_response(await self._serve_call(call))
+        return self._make_response(req, await self._serve_call(call))
 
     async def _serve_call(self, call: calls.Call) -> calls.Reply:
         """Returns the reply to a call, also if `end_calls` ends it before."""
@@ -189,29 +219,37 @@
             seconds=round(abandoned.seconds, 3),
         )
 
-    def _refuse_body(self, code: codes.ResultCode) -> web.Response:
+    def _refuse_body(
+        self, req: web.BaseRequest, code: codes.ResultCode
+    ) -> web.Response:
         """Returns the response to a request whose body isn't read whole."""
         retry_after = 0.0
         if code is codes.ResultCode.OVERLOADED:
             retry_after = BUFFERS_FULL_RETRY_SECONDS
-        resp = self._make_response(calls.make_error_reply(code, retry_after))
+        reply = calls.make_error_reply(code, retry_after)
+        resp = self._make_response(req, reply)
         resp.force_close()
         return resp
 
-    def _parse_timeout(self, req: web.Request) -> float:
+    def _parse_timeout(
+        self, headers: collections.abc.Mapping[str, str]
+    ) -> float:
         """Returns how long the caller of a request waits, in seconds.
 
         Raises:
             ValueError: The deadline is malformed.
         """
-        deadline_header = req.headers.get(self._header_names.deadline)
+        deadline_header = headers.get(self._header_names.deadline)
         if deadline_header is None:
             return DEFAULT_CALL_TIMEOUT_SECONDS
         timeout_ms = fields.parse_finite(deadline_header)
         return timeout_ms / durations.MILLISECONDS_PER_SECOND
 
     def _parse_call(
-        self, req: web.Request, body: bytes, timeout_seconds: float
+        self,
+        message: http.RawRequestMessage,
+        body: bytes,
+        timeout_seconds: float,
     ) -> calls.Call:
         """Returns the call in a request.
 
@@ -219,24 +257,31 @@
             ValueError: The key is malformed.
         """
         header_names = self._header_names
-        key_header = req.headers.get(header_names.key)
+        headers = message.headers
+        key_header = headers.get(header_names.key)
         key = None
         if key_header is not None:
             key = fields.parse_decimal(key_header, protocol.KEY_COUNT - 1)
         return calls.Call(
-            call_id=req.headers.get(header_names.call_id, ""),
-            method=req.method,
-            host=req.headers.get("Host", ""),
-            path=req.raw_path,
-            headers=tuple(req.headers.items()),
+            call_id=headers.get(header_names.call_id, ""),
+            method=message.method,
+            host=headers.get("Host", ""),
+            path=message.path,
+            headers=tuple(headers.items()),
             body=body,
             key=key,
             received_at=time.monotonic(),
             timeout_seconds=timeout_seconds,
         )
 
-    def _make_response(self, reply: calls.Reply) -> web.Response:
-        """Returns the HTTP response for a reply."""
+    def _make_response(
+        self, req: web.BaseRequest, reply: calls.Reply
+    ) -> web.Response:
+        """Returns the HTTP response for a reply.
+
+        During a shutdown it closes the connection, but not before the calls
+        behind it that were begun already are answered as well.
+        """
         if reply.headers:
             resp = web.Response(status=reply.status, body=reply.body)
             for name, text in reply.headers.items():
@@ -244,7 +289,7 @@
                     resp.headers.add(name, text)
         else:
             resp = _make_error_response(reply)
-        if self.is_shutting_down:
+        if self._is_shutting_down and not req.protocol.has_early_calls():
             resp.force_close()
         return resp
 
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -25,22 +25,26 @@
         self.calls = []
         self.cancelled_calls = 0
         self.delay_seconds = 0.0
+        self.delays: dict[str, float] = {}
+        self.replies: dict[str, calls.Reply] = {}
         self.reply = calls.Reply(codes.ResultCode.OK, 200, {"X": "1"}, b"ok")
         self.log_output = io.StringIO()
         self.server = server.CallerServer(
             self.serve,
             test_upstream.NAMES,
             journal.Journal(self.log_output, "vm-0"),
+            lambda call: not call.path.startswith("/order/"),
         )
 
     async def serve(self, call):
         self.calls.append(call)
+        delay_seconds = self.delays.get(call.call_id, self.delay_seconds)
         try:
-            await asyncio.sleep(self.delay_seconds)
+            await asyncio.sleep(delay_seconds)
         except asyncio.CancelledError:
             self.cancelled_calls += 1
             raise
-        return self.reply
+        return self.replies.get(call.call_id, self.reply)
 
     async def connect(self):
         return await asyncio.open_connection(
@@ -91,7 +95,7 @@
     reader, writer = await harness.connect()
     writer.write(REQUEST)
     await asyncio.sleep(0.05)
-    harness.server.is_shutting_down = True
+    harness.server.begin_shutdown()
     harness.server.close_idle_connections()
     assert not harness.server.is_idle()
     head, body = await _read_answer(reader)
@@ -116,7 +120,7 @@
     reader, writer = await harness.connect()
     writer.write(REQUEST)
     await asyncio.sleep(0.05)
-    harness.server.is_shutting_down = True
+    harness.server.begin_shutdown()
     harness.server.end_calls()
     head, _ = await _read_answer(reader)
     assert head.startswith(b"HTTP/1.1 502 ")
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -9,7 +9,6 @@
 
 from jujubeyard.routing import admission
 from jujubeyard.routing import bounds as call_bounds
-from jujubeyard.routing import config
 from jujubeyard.targets import loads
 
 SLOTS = 3
@@ -29,20 +28,6 @@
     deadline_seconds: float
 
 
-def _make_config(route: Route) -> config.Route:
-    return config.Route(
-        name=route.name,
-        host="a.example",
-        prefix=f"/{route.name}/",
-        shares=(config.TrafficShare("desk", 1.0),),
-        idempotent=True,
-        timeout=route.deadline_seconds,
-        objective=route.objective,
-        max_targets=2,
-        urgency=1,
-    )
-
-
 class Target:
     """Runs calls in the order of their arrival."""
 
@@ -85,7 +70,7 @@
         expected = target.load.expected_seconds(
             SLOTS, now, route.work_seconds / first.work_seconds
         )
-        call_bound = bounds.observe("desk", _make_config(route), now)
+        call_bound = bounds.observe("desk", route.objective)
         if admission.should_refuse(
             expected, call_bound, route.deadline_seconds
         ):
