Begin pipelined calls also when the request before them begins, with tests

The first version began only what arrived after the request before it had begun; requests in one segment waited. tests/node/test_server.py: order, calls that must wait, a close in the middle, shutdown and its end, a caller who leaves, limits of a connection and of the node, a malformed request; without the early begin the first takes 0.8 s instead of under 0.6 s, and the last but one sees no early call.

--- a/src/jujubeyard/node/pipelining.py
+++ b/src/jujubeyard/node/pipelining.py
@@ -66,8 +66,8 @@
     def data_received(self, data: bytes) -> None:
         """Parses requests, and begins calls that may run early."""
         super().data_received(data)
-        if self._current_request is not None and self._messages:
-            self._start_calls()
+        if self._current_request is not None:
+            self.start_waiting_calls()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancels the early calls, whose answers nobody awaits any more."""
@@ -91,8 +91,11 @@
         self._server.early_count -= 1
         return self._early_calls.pop(message_id)
 
-    def _start_calls(self) -> None:
-        """Begins the calls of waiting requests, up to the first that can't."""
+    def start_waiting_calls(self) -> None:
+        """Begins the calls of waiting requests, up to the first that can't.
+
+        A request must be in progress.
+        """
         if not _is_followed(self._current_request._message):
             return
         if not self._current_request.content.is_eof():
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -141,6 +141,7 @@
 
     async def _answer_request(self, req: web.BaseRequest) -> web.Response:
         early_call = req.protocol.take_early_call(req)
+        req.protocol.start_waiting_calls()
         if early_call is not None:
             return self._make_response(req, await early_call)
         try:
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -10,6 +10,7 @@
 from jujubeyard import responses
 from jujubeyard.node import calls
 from jujubeyard.node import journal
+from jujubeyard.node import pipelining
 from jujubeyard.node import server
 from jujubeyard.node import settings
 from tests.node import test_upstream
@@ -24,6 +25,8 @@
         self.address = address
         self.calls = []
         self.cancelled_calls = 0
+        self.running_calls = 0
+        self.most_running_calls = 0
         self.delay_seconds = 0.0
         self.delays: dict[str, float] = {}
         self.replies: dict[str, calls.Reply] = {}
@@ -39,11 +42,17 @@
     async def serve(self, call):
         self.calls.append(call)
         delay_seconds = self.delays.get(call.call_id, self.delay_seconds)
+        self.running_calls += 1
+        self.most_running_calls = max(
+            self.most_running_calls, self.running_calls
+        )
         try:
             await asyncio.sleep(delay_seconds)
         except asyncio.CancelledError:
             self.cancelled_calls += 1
             raise
+        finally:
+            self.running_calls -= 1
         return self.replies.get(call.call_id, self.reply)
 
     async def connect(self):
@@ -266,3 +275,155 @@
     assert head.startswith(b"HTTP/1.1 400 ")
     assert not harness.calls
     writer.close()
+
+
+def _make_request(call_id: str, path: str = "/x/1", more: str = "") -> bytes:
+    return (
+        f"GET {path} HTTP/1.1\r\nHost: a.example\r\nX-Call: {call_id}\r\n"
+        f"{more}\r\n"
+    ).encode()
+
+
+def _reply_with_id(harness, *call_ids):
+    for call_id in call_ids:
+        harness.replies[call_id] = calls.Reply(
+            codes.ResultCode.OK, 200, {"X": "1"}, call_id.encode()
+        )
+
+
+async def test_pipelined_calls_begin_at_once_and_are_answered_in_order(harness):
+    _reply_with_id(harness, "c1", "c2", "c3")
+    harness.delays = {"c1": 0.4, "c2": 0.1, "c3": 0.3}
+    reader, writer = await harness.connect()
+    started_at = asyncio.get_running_loop().time()
+    writer.write(_make_request("c1"))
+    await asyncio.sleep(0.05)
+    writer.write(_make_request("c2") + _make_request("c3"))
+    bodies_read = [(await _read_answer(reader))[1] for _ in range(3)]
+    assert bodies_read == [b"c1", b"c2", b"c3"]
+    assert asyncio.get_running_loop().time() - started_at < 0.6
+    assert len(harness.calls) == 3
+    assert harness.server._server.early_count == 0
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    "request_behind",
+    [
+        pytest.param(_make_request("c2", "/order/1"), id="not repeatable"),
+        pytest.param(
+            b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Call: c2\r\n"
+            b"Content-Length: 1\r\n\r\nx",
+            id="with a body",
+        ),
+    ],
+)
+async def test_pipelined_call_that_must_wait_is_not_begun_early(
+    harness, request_behind
+):
+    _reply_with_id(harness, "c1", "c2", "c3")
+    harness.delay_seconds = 0.2
+    reader, writer = await harness.connect()
+    writer.write(_make_request("c1") + request_behind + _make_request("c3"))
+    await asyncio.sleep(0.1)
+    assert [call.call_id for call in harness.calls] == ["c1"]
+    bodies_read = [(await _read_answer(reader))[1] for _ in range(3)]
+    assert bodies_read == [b"c1", b"c2", b"c3"]
+    writer.close()
+
+
+async def test_pipelined_calls_behind_a_close_are_not_begun(harness):
+    harness.delay_seconds = 0.1
+    reader, writer = await harness.connect()
+    last = _make_request("c1", more="Connection: close\r\n")
+    writer.write(last)
+    await asyncio.sleep(0.05)
+    writer.write(_make_request("c2"))
+    await _read_answer(reader)
+    assert await reader.read() == b""
+    assert [call.call_id for call in harness.calls] == ["c1"]
+    writer.close()
+
+
+async def test_shutdown_answers_pipelined_calls_that_were_begun(harness):
+    _reply_with_id(harness, "c1", "c2")
+    harness.delay_seconds = 0.3
+    reader, writer = await harness.connect()
+    writer.write(_make_request("c1") + _make_request("c2"))
+    await asyncio.sleep(0.1)
+    harness.server.begin_shutdown()
+    writer.write(_make_request("c3"))
+    first_head, first_body = await _read_answer(reader)
+    assert b"connection: close" not in first_head.lower()
+    second_head, second_body = await _read_answer(reader)
+    assert b"connection: close" in second_head.lower()
+    assert (first_body, second_body) == (b"c1", b"c2")
+    assert await reader.read() == b""
+    assert [call.call_id for call in harness.calls] == ["c1", "c2"]
+    writer.close()
+
+
+async def test_end_of_the_shutdown_answers_pipelined_calls(harness):
+    harness.delay_seconds = 9.0
+    reader, writer = await harness.connect()
+    writer.write(_make_request("c1") + _make_request("c2"))
+    await asyncio.sleep(0.1)
+    harness.server.begin_shutdown()
+    harness.server.end_calls()
+    for _ in range(2):
+        head, _ = await _read_answer(reader)
+        assert head.startswith(b"HTTP/1.1 502 ")
+    assert harness.cancelled_calls == 2
+    writer.close()
+
+
+async def test_pipelined_calls_end_when_the_caller_leaves(harness):
+    harness.delay_seconds = 5.0
+    _, writer = await harness.connect()
+    writer.write(_make_request("c1") + _make_request("c2"))
+    await asyncio.sleep(0.1)
+    writer.transport.abort()
+    await asyncio.sleep(0.1)
+    assert harness.cancelled_calls == 2
+    assert harness.server.active == 0
+    assert harness.server._server.early_count == 0
+
+
+async def test_flood_of_pipelined_calls_is_bounded_and_answered_in_order(
+    harness,
+):
+    call_ids = [f"c{number}" for number in range(60)]
+    _reply_with_id(harness, *call_ids)
+    harness.delay_seconds = 0.02
+    reader, writer = await harness.connect()
+    writer.write(b"".join(map(_make_request, call_ids)))
+    bodies_read = [(await _read_answer(reader))[1] for _ in call_ids]
+    assert bodies_read == [call_id.encode() for call_id in call_ids]
+    most_calls = pipelining.MAX_EARLY_PER_CONNECTION + 1
+    assert 1 < harness.most_running_calls <= most_calls
+    assert len(harness.calls) == len(call_ids)
+    writer.close()
+
+
+async def test_pipelined_calls_of_all_connections_are_bounded(harness):
+    harness.delay_seconds = 0.3
+    conns = [await harness.connect() for _ in range(6)]
+    for _, writer in conns:
+        writer.write(b"".join(_make_request(f"c{n}") for n in range(5)))
+    await asyncio.sleep(0.1)
+    most_calls = len(conns) + pipelining.MAX_EARLY_CALLS
+    assert len(conns) < harness.running_calls <= most_calls
+    for reader, writer in conns:
+        for _ in range(5):
+            assert (await _read_answer(reader))[1] == b"ok"
+        writer.close()
+
+
+async def test_malformed_pipelined_call_is_refused_in_its_turn(harness):
+    harness.delay_seconds = 0.1
+    reader, writer = await harness.connect()
+    odd = _make_request("c2", more="X-Key: 99999\r\n")
+    writer.write(_make_request("c1") + odd + _make_request("c3"))
+    statuses = [(await _read_answer(reader))[0][9:12] for _ in range(3)]
+    assert statuses == [b"200", b"400", b"200"]
+    writer.close()
