--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -57,7 +57,7 @@
 CLEANUP_INTERVAL_SECONDS = 5.0
 TASK_RESTART_SECONDS = 0.2
 OPERATOR_BATCH_SECONDS = 0.4
-TARGETS_BATCH_DRAIN_SHARE = 0.4
+TARGETS_BATCH_DRAIN_SHARE = 0.25
 """Delay after a change of the targets, as a share of the drain limit. Targets
 that are cold update their listings each second."""
 
