--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -262,8 +262,6 @@
             state.retry_after = owners.MOVED_RETRY_SECONDS
             return None
         target.load.avoid_until = now + BROKEN_AVOID_SECONDS
-        if result.was_reset:
-            target.load.observe_reset(now)
         state.may_have_run = True
         return None
 
--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -3,7 +3,6 @@
 import collections.abc
 import dataclasses
 import enum
-import errno
 
 import aiohttp
 import yarl
@@ -54,13 +53,11 @@
         outcome: What is known about the call.
         answer: The answer; None unless it was complete.
         detail: Description of the failure for the log.
-        was_reset: Whether the target reset the connection.
     """
 
     outcome: SendOutcome
     answer: Answer | None = None
     detail: str = ""
-    was_reset: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,11 +140,7 @@
         except TimeoutError as exc:
             return SendResult(SendOutcome.TIMED_OUT, detail=repr(exc))
         except (aiohttp.ClientError, OSError, ValueError) as exc:
-            return SendResult(
-                SendOutcome.BROKEN,
-                detail=repr(exc),
-                was_reset=getattr(exc, "errno", None) == errno.ECONNRESET,
-            )
+            return SendResult(SendOutcome.BROKEN, detail=repr(exc))
 
 
 def _classify_answer(resp: connections.Response, body: bytes) -> SendResult:
--- a/src/jujubeyard/targets/loads.py
+++ b/src/jujubeyard/targets/loads.py
@@ -23,9 +23,6 @@
 MAX_ROUTES = 10_000
 """Largest number of routes whose work is kept."""
 
-MIN_RESETS_IN_A_ROW = 2
-RESET_PAUSE_SECONDS = 0.1
-MAX_RESET_PAUSE_SECONDS = 0.8
 FAILURE_SMOOTHING = 0.2
 INITIAL_WORK_SECONDS = 0.15
 
@@ -147,8 +144,6 @@
         failure_rate: Smoothed share of calls that failed.
         unreachable_until: Time before which no new connection is tried.
         paused_until: Time before which the target wants no requests.
-        resets_in_a_row: Connections that the target has reset since its latest
-            success.
         answer_bytes: Smoothed size of the target's answers.
         avoid_until: Time before which the target is only chosen if there is
             no other.
@@ -169,7 +164,6 @@
     avoid_until: float = 0.0
     unreachable_until: float = 0.0
     paused_until: float = 0.0
-    resets_in_a_row: int = 0
     answer_bytes: float = 0.0
 
     def observe_report(self, report: LoadReport, now: float) -> None:
@@ -201,27 +195,11 @@
             Processing time of the call, in seconds.
         """
         work = seconds / (1.0 + queue_ratio)
-        self.resets_in_a_row = 0
         self.work.observe(work)
         self.service_work.observe(work)
         self.failure_rate -= FAILURE_SMOOTHING * self.failure_rate
         return work
 
-    def observe_reset(self, now: float) -> None:
-        """Records that the target has reset the connection of a call.
-
-        A target that is full may do so. One reset has many causes; after more
-        of them in a row the target gets nothing for a moment.
-
-        Args:
-            now: Monotonic time, in seconds.
-        """
-        self.resets_in_a_row += 1
-        doublings = self.resets_in_a_row - MIN_RESETS_IN_A_ROW
-        if doublings >= 0:
-            seconds = RESET_PAUSE_SECONDS * 2.0 ** min(doublings, 10)
-            self.pause(min(seconds, MAX_RESET_PAUSE_SECONDS), now)
-
     def pause(self, seconds: float, now: float) -> None:
         """Records that the target wants no requests for a time.
 
