Keep a connection open behind a refused request while calls behind it run

A request without a body that was refused as malformed closed its connection, also when calls behind it had been begun: they were cut.

--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -223,13 +223,17 @@
     def _refuse_body(
         self, req: web.BaseRequest, code: codes.ResultCode
     ) -> web.Response:
-        """Returns the response to a request whose body isn't read whole."""
+        """Returns the response to a request whose body isn't read.
+
+        Calls behind it are only begun if its body has arrived whole.
+        """
         retry_after = 0.0
         if code is codes.ResultCode.OVERLOADED:
             retry_after = BUFFERS_FULL_RETRY_SECONDS
         reply = calls.make_error_reply(code, retry_after)
         resp = self._make_response(req, reply)
-        resp.force_close()
+        if not req.protocol.has_early_calls():
+            resp.force_close()
         return resp
 
     def _parse_timeout(
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -427,3 +427,15 @@
     statuses = [(await _read_answer(reader))[0][9:12] for _ in range(3)]
     assert statuses == [b"200", b"400", b"200"]
     writer.close()
+
+
+async def test_refusal_of_a_request_does_not_cut_pipelined_calls_behind_it(
+    harness,
+):
+    harness.delay_seconds = 0.1
+    reader, writer = await harness.connect()
+    odd = _make_request("c1", more="X-Deadline: soon\r\n")
+    writer.write(odd + _make_request("c2"))
+    statuses = [(await _read_answer(reader))[0][9:12] for _ in range(2)]
+    assert statuses == [b"400", b"200"]
+    writer.close()
