Ask callers for the body of a request with an expectation

aiohttp's application did it before; its low-level server, which serves callers since pipelined calls begin early, doesn't. The test failed without the change (no interim answer).

--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -148,6 +148,7 @@
             timeout_seconds = self._parse_timeout(req.headers)
         except ValueError:
             return self._refuse_body(req, codes.ResultCode.BAD_REQUEST)
+        await _ask_for_body(req)
         body = await self._body_reader.read_request(
             req.content, timeout_seconds
         )
@@ -309,6 +310,14 @@
     return waiter is not None and not waiter.done()
 
 
+async def _ask_for_body(req: web.BaseRequest) -> None:
+    """Tells a caller that waits for it to send the body of its request."""
+    expectation = req.headers.get("Expect", "").lower()
+    if expectation == "100-continue" and req.version == http.HttpVersion11:
+        await req.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        req.writer.output_size = 0
+
+
 def _make_error_response(reply: calls.Reply) -> web.Response:
     """Returns a response of the router itself, with a JSON body."""
     document = {
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -439,3 +439,19 @@
     statuses = [(await _read_answer(reader))[0][9:12] for _ in range(2)]
     assert statuses == [b"400", b"200"]
     writer.close()
+
+
+async def test_caller_that_waits_for_100_continue_is_asked_for_its_body(
+    harness,
+):
+    reader, writer = await harness.connect()
+    writer.write(
+        b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Call: c1\r\n"
+        b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+    )
+    head, _ = await _read_answer(reader)
+    assert head == b"HTTP/1.1 100 Continue\r\n\r\n"
+    writer.write(b"ab")
+    assert (await _read_answer(reader))[1] == b"ok"
+    assert harness.calls[0].body == b"ab"
+    writer.close()
