Make the tests of notices and pauses fail when nothing reads them

Cause: the new tests were run against copies with one mechanism taken out each. Two passed although theirs was gone: the owner's test set the time of a notice itself (without a notice it became negative, and counted), and the one of calls that go elsewhere was kept by the time for which a refusing target is avoided anyway. Both check what they are for now. Doubled set-up in two files has a function each.

--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -492,6 +492,7 @@
     harness.client.script = [make_answer(**LEAVING), make_answer()]
     assert (await harness.serve("lookup", key=1)).status == 200
     assert (await harness.serve("lookup", key=1)).status == 200
+    assert target.leaving_since > 0.0
     target.leaving_since -= LIMITS.drain
     harness.add_target("t1", "desk")
     reply = await harness.serve("lookup", key=1)
@@ -524,13 +525,15 @@
 
 
 async def test_call_goes_elsewhere_while_a_target_asks_for_a_pause(harness):
-    harness.add_target("t1")
-    harness.add_target("t2")
+    targets = [harness.add_target("t1"), harness.add_target("t2")]
     harness.client.script = [
         make_answer(503, signed=False, **PAUSE),
-        *(make_answer() for _ in range(5)),
+        *(make_answer() for _ in range(20)),
     ]
-    for _ in range(5):
+    for _ in range(20):
         assert (await harness.serve("order")).status == 200
+        for target in targets:
+            target.load.avoid_until = 0.0
+            target.load.failure_rate = 0.0
     paused = harness.client.sent[0].address
     assert [call.address for call in harness.client.sent].count(paused) == 1
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -345,12 +345,19 @@
     writer.close()
 
 
-async def test_shutdown_answers_pipelined_calls_that_were_begun(harness):
-    _reply_with_id(harness, "c1", "c2")
-    harness.delay_seconds = 0.3
+async def _begin_two_calls(harness):
+    """Returns a connection on which two pipelined calls are in progress."""
     reader, writer = await harness.connect()
     writer.write(_make_request("c1") + _make_request("c2"))
     await asyncio.sleep(0.1)
+    assert harness.running_calls == 2
+    return reader, writer
+
+
+async def test_shutdown_answers_pipelined_calls_that_were_begun(harness):
+    _reply_with_id(harness, "c1", "c2")
+    harness.delay_seconds = 0.3
+    reader, writer = await _begin_two_calls(harness)
     harness.server.begin_shutdown()
     writer.write(_make_request("c3"))
     first_head, first_body = await _read_answer(reader)
@@ -365,9 +372,7 @@
 
 async def test_end_of_the_shutdown_answers_pipelined_calls(harness):
     harness.delay_seconds = 9.0
-    reader, writer = await harness.connect()
-    writer.write(_make_request("c1") + _make_request("c2"))
-    await asyncio.sleep(0.1)
+    reader, writer = await _begin_two_calls(harness)
     harness.server.begin_shutdown()
     harness.server.end_calls()
     for _ in range(2):
@@ -379,9 +384,7 @@
 
 async def test_pipelined_calls_end_when_the_caller_leaves(harness):
     harness.delay_seconds = 5.0
-    _, writer = await harness.connect()
-    writer.write(_make_request("c1") + _make_request("c2"))
-    await asyncio.sleep(0.1)
+    _, writer = await _begin_two_calls(harness)
     writer.transport.abort()
     await asyncio.sleep(0.1)
     assert harness.cancelled_calls == 2
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -323,12 +323,17 @@
         assert target.holds(first, harness.now + MAX_HOLD_SECONDS - 1.0)
 
 
-async def test_renewals_wait_for_a_pause_without_losing_the_grant(harness):
+async def _lead_paused_target(harness, pause_seconds):
+    """Returns a target that holds its keys and asks for a pause."""
     harness.add_targets("t1")
     await harness.lead()
     await harness.run(3.0)
-    target = harness.target_client.targets["t1"]
-    harness.cluster_state.pauses["t1"] = 1.0
+    harness.cluster_state.pauses["t1"] = pause_seconds
+    return harness.target_client.targets["t1"]
+
+
+async def test_renewals_wait_for_a_pause_without_losing_the_grant(harness):
+    target = await _lead_paused_target(harness, 1.0)
     grants = len(target.granted_fences)
     await harness.run(1.2)
     assert len(target.granted_fences) == grants
@@ -339,11 +344,7 @@
 
 
 async def test_pause_does_not_delay_longer_grants_in_an_outage(harness):
-    harness.add_targets("t1")
-    await harness.lead()
-    await harness.run(3.0)
-    target = harness.target_client.targets["t1"]
-    harness.cluster_state.pauses["t1"] = 5.0
+    target = await _lead_paused_target(harness, 5.0)
     grants = len(target.granted_fences)
     harness.leadership.renewal_failed = True
     await harness.run(0.2)
