--- a/review/common/clients.py
+++ b/review/common/clients.py
@@ -20,6 +20,7 @@
         self._node = node
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
+        self._answers = 0
         home.closers.append(self.close)
 
     async def send(
@@ -48,14 +49,23 @@
         except (OSError, asyncio.IncompleteReadError) as exc:
             outcome = f"connection ended: {exc!r}"
             answer = None
+            self._record_cut(call_id)
         else:
             outcome = f"answered {answer.status}" if answer else "closed"
+            if answer is None:
+                self._record_cut(call_id)
+            self._answers += 1
         if answer is None or answer.headers.get("connection") == "close":
             self.close()
         seconds = time.monotonic() - sent_at
         self._world.record(f"{call_id} {outcome} after {seconds:.3f} s")
         return answer
 
+    def _record_cut(self, call_id: str) -> None:
+        """Records a request without an answer on a kept connection."""
+        if self._answers:
+            self._world.cut_calls.append(call_id)
+
     async def _exchange(self, method, path, headers, body, deadline, call_id):
         if self._writer is None:
             self._reader, self._writer = await asyncio.open_connection(
@@ -78,6 +88,7 @@
         if self._writer is not None:
             self._writer.close()
         self._reader = self._writer = None
+        self._answers = 0
 
 
 async def read_keys(
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -135,6 +135,7 @@
         self.store = Store(random.Random(1))
         self.nodes: list[Node] = []
         self.violations: list[str] = []
+        self.cut_calls: list[str] = []
         self.started_at = time.monotonic()
         self.store_addresses: dict[str, str] = {}
         self.closers: list[collections.abc.Callable[[], None]] = []
