Name the record of each review case in its own folder

Cause: record.txt was written by the shared stand-ins only, so that a case didn't show it; the report had one line for seven entries.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,6 +7,7 @@
 from review.common import keyed
 from review.common import world
 
+RECORD = pathlib.Path(__file__).with_name("record.txt")
 DOWN_SECONDS = 0.3
 ENTRY_SECONDS = world.HEARTBEAT_SECONDS / 2
 """Time from the start of an upstream until it writes its entry."""
@@ -27,4 +28,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(world.run(pathlib.Path(__file__).parent, play))
+    sys.exit(world.run(RECORD, play))
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -123,11 +123,11 @@
 class World:
     """A store, upstreams and router processes, and the record of a run."""
 
-    def __init__(self, directory: pathlib.Path):
+    def __init__(self, record: pathlib.Path):
         """Creates an empty world.
 
         Args:
-            directory: Folder of the case, for its record.
+            record: File to which the record of the run is written.
         """
         octets = (os.getpid() + time.time_ns()) & 0xFFFF
         self.prefix = f"127.{16 + (octets >> 8) % 200}.{octets & 0xFF}"
@@ -139,7 +139,7 @@
         self.started_at = time.monotonic()
         self.store_addresses: dict[str, str] = {}
         self.closers: list[collections.abc.Callable[[], None]] = []
-        self._record = open(directory / "record.txt", "w")
+        self._record = open(record, "w")
         self._tasks: list[asyncio.Task] = []
         self._runner: web.AppRunner | None = None
         self._store_address = ""
@@ -253,11 +253,11 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run(directory: pathlib.Path, play, limit_seconds: float = 110.0) -> int:
+def run(record: pathlib.Path, play, limit_seconds: float = 110.0) -> int:
     """Plays a case and returns its exit status.
 
     Args:
-        directory: Folder of the case.
+        record: File to which the record of the run is written.
         play: Coroutine function that plays the case in a world.
         limit_seconds: Longest duration of the run.
 
@@ -265,7 +265,7 @@
         RULE_BROKEN, RULE_HELD or NOT_RUN.
     """
     signal.signal(signal.SIGTERM, _exit)
-    home = World(directory)
+    home = World(record)
     try:
         asyncio.run(_play(home, play, limit_seconds))
     except Exception as exc:
