Log what shows that nobody holds a shard when it is given away

The line "shard freed" said why a shard moves, but not what shows that its owner no longer holds it, so that these could not be told apart from the lines: 1. the listed start of another incarnation is taken for the end of all grants (ruled out by: evidence other than that, or hold_left of 0 or less); 2. a release was confirmed and a grant taken after it (ruled out by: no release at the target in record.txt, evidence other than "released"); 3. two leaders (ruled out by: one "leadership won", fences of one term); 4. a grant that was still on its way when the shard was given away (ruled out by: no grant at the old owner after "shard freed" in record.txt); 5. the end of a grant is reckoned too early (ruled out by: hold_left above 0 with evidence other than "grant expired").

It now has the incarnation, the evidence and the time for which grants may still have lasted.

--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import enum
 import typing
 
 from jujubeyard import clock
@@ -52,6 +53,15 @@
 """Pause after a failed write of the table."""
 
 
+class Evidence(enum.Enum):
+    """What shows that no target holds a shard any more."""
+
+    RELEASED = "released"
+    EXPIRED = "grant expired"
+    OTHER_TARGET = "another target replied"
+    REPLACED = "another incarnation is listed"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FreedShard:
     """A shard that no target holds and that waits for its next owner.
@@ -258,32 +268,37 @@
     ) -> None:
         """Waits until no target holds a shard, then queues it for its move."""
         hold = self._holds.get(shard.first)
-        handover = ""
+        evidence, handover = Evidence.REPLACED, ""
         if not self._liveness.has_ended(shard.owner):
-            handover = await self._release(shard, hold, now)
+            evidence, handover = await self._release(shard, hold, now)
+        freed_at = clock.boottime()
         self._client.log_event(
             "shard freed",
             service=self.service,
             first=shard.first,
             owner=shard.owner.target_id,
+            born=shard.owner.born,
             fence=shard.fence,
             to=move.to.target_id,
             reason=move.reason,
+            evidence=evidence.value,
+            hold_left=round(hold.until - freed_at, 3),
             handover=bool(handover),
-            waited=round(clock.boottime() - now, 3),
+            waited=round(freed_at - now, 3),
         )
         self._freed[shard.first] = FreedShard(move, handover, clock.boottime())
 
     async def _release(
         self, shard: table.Shard, hold: holds.Hold, now: float
-    ) -> str:
+    ) -> tuple[Evidence, str]:
         """Waits until the owner can no longer hold a shard.
 
         Retries the release until the owner confirms it, its grant expires or
         its incarnation ends.
 
         Returns:
-            The handover of the owner; empty if it didn't confirm the release.
+            What shows that the owner doesn't hold the shard, and its handover;
+            that is empty if it didn't confirm the release.
         """
         fence = self._leadership.allocate_fence()
         request = target_requests.ReleaseRequest(
@@ -292,19 +307,19 @@
         while not self._liveness.has_ended(shard.owner):
             remaining = hold.until - clock.boottime()
             if remaining <= 0.0:
-                return ""
+                return Evidence.EXPIRED, ""
             if not self._leadership.is_leader():
                 await asyncio.sleep(PROBE_SECONDS)
                 continue
             seconds = max(remaining, MIN_RELEASE_SECONDS)
             result = await self._client.release(request, seconds)
             if result.outcome is target_requests.Outcome.DONE:
-                return result.reply.handover
+                return Evidence.RELEASED, result.reply.handover
             if result.outcome is target_requests.Outcome.GONE:
                 self._liveness.record_end(shard.owner)
-                return ""
+                return Evidence.OTHER_TARGET, ""
             await asyncio.sleep(min(PROBE_SECONDS, max(remaining, 0.01)))
-        return ""
+        return Evidence.REPLACED, ""
 
     def _write_freed(self, candidates) -> None:
         """Starts to write the new owners of the freed shards to the table."""
