Release a restarted target's keys before they are given away

Cause: ShardCoordinator took the listing of another incarnation (`born`) as the proof that nobody holds the owner's keys, and gave them away without a release and without waiting for the end of the grants. But a grant is addressed to a name at an address. From its start until its entry is read, the new incarnation takes the renewals that were meant for the one before it, and holds the keys for up to 3.5 s. The listing proves that the earlier incarnation has ended, which says nothing about the grants.

Change: a listing is no evidence any more. The new incarnation answers the release at once. One at another address costs the rest of the grant (up to 4.4 s), as any lost target does: a listing read late may name an incarnation that has ended, too.

Callers' lookups compare `born` too, but only refuse by it.

Tests: restarts under the same id listed at once, late, long after, after a long time down, twice and three times in a row, at another address, around a change of the leader, with a silent store, with a list that is behind.

--- a/src/jujubeyard/node/placement_inputs.py
+++ b/src/jujubeyard/node/placement_inputs.py
@@ -67,14 +67,6 @@
         offset = clock.boottime() - time.monotonic()
         return max(listed_at, default=time.monotonic()) + offset
 
-    def is_replaced(self, owner: table.Owner) -> bool:
-        """Returns whether another incarnation of the target is listed.
-
-        The owner's incarnation has certainly ended then.
-        """
-        target = self._view.registry.targets.get(owner.target_id)
-        return target is not None and target.listing.born != owner.born
-
     def shard_rates(self, shard_table: table.ShardTable) -> list[float]:
         """Returns the calls per second of each shard."""
         estimate = self._estimates.get(shard_table.service)
--- a/src/jujubeyard/ownership/liveness.py
+++ b/src/jujubeyard/ownership/liveness.py
@@ -1,7 +1,5 @@
 """Tracks which owners of keys are unresponsive and which have ended."""
 
-import collections.abc
-
 from jujubeyard.ownership import table
 
 UNRESPONSIVE_SECONDS = 1.0
@@ -9,18 +7,14 @@
 
 
 class OwnerLiveness:
-    """State of owners, derived from the replies to requests and probes."""
+    """State of owners, derived from the replies to requests and probes.
 
-    def __init__(
-        self, is_replaced: collections.abc.Callable[[table.Owner], bool]
-    ):
-        """Initializes a tracker in which all owners are available.
+    A reply shows that a process serves the owner's name at its address, not
+    that it is the incarnation that the shard table names.
+    """
 
-        Args:
-            is_replaced: Returns whether the platform lists another
-                incarnation of an owner's target.
-        """
-        self._is_replaced = is_replaced
+    def __init__(self):
+        """Initializes a tracker in which all owners are available."""
         self._unresponsive_since: dict[table.Owner, float] = {}
         self._ended: set[table.Owner] = set()
 
@@ -60,5 +54,5 @@
         return not is_timed_out and owner not in self._ended
 
     def has_ended(self, owner: table.Owner) -> bool:
-        """Returns whether the incarnation of an owner has certainly ended."""
-        return owner in self._ended or self._is_replaced(owner)
+        """Returns whether another process has replied at an owner's address."""
+        return owner in self._ended
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -8,11 +8,11 @@
 import asyncio
 import collections.abc
 import dataclasses
-import enum
 import typing
 
 from jujubeyard import clock
 from jujubeyard.ownership import demand
+from jujubeyard.ownership import evidence
 from jujubeyard.ownership import holds
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import liveness
@@ -53,15 +53,6 @@
 """Pause after a failed write of the table."""
 
 
-class Evidence(enum.Enum):
-    """What shows that no target holds a shard any more."""
-
-    RELEASED = "released"
-    EXPIRED = "grant expired"
-    OTHER_TARGET = "another target replied"
-    REPLACED = "another incarnation is listed"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class FreedShard:
     """A shard that no target holds and that waits for its next owner.
@@ -90,12 +81,6 @@
     def joined_at(self, service: str) -> float:
         """Returns when the most recent target joined, in boot time."""
 
-    def is_replaced(self, owner: table.Owner) -> bool:
-        """Returns whether another incarnation of the target is listed.
-
-        The owner's incarnation has certainly ended then.
-        """
-
     def shard_rates(self, shard_table: table.ShardTable) -> list[float]:
         """Returns the calls per second of each shard."""
 
@@ -144,7 +129,7 @@
         self._client = client
         self._table: table.ShardTable | None = None
         self._holds = holds.HoldTracker(max_hold_seconds)
-        self._liveness = liveness.OwnerLiveness(cluster_state.is_replaced)
+        self._liveness = liveness.OwnerLiveness()
         self._moving_firsts: set[int] = set()
         self._freed: dict[int, FreedShard] = {}
         self._renewal_failed_before = False
@@ -268,9 +253,7 @@
     ) -> None:
         """Waits until no target holds a shard, then queues it for its move."""
         hold = self._holds.get(shard.first)
-        evidence, handover = Evidence.REPLACED, ""
-        if not self._liveness.has_ended(shard.owner):
-            evidence, handover = await self._release(shard, hold, now)
+        proof, handover = await self._release(shard, hold)
         freed_at = clock.boottime()
         self._client.log_event(
             "shard freed",
@@ -281,7 +264,7 @@
             fence=shard.fence,
             to=move.to.target_id,
             reason=move.reason,
-            evidence=evidence.value,
+            evidence=proof.value,
             hold_left=round(hold.until - freed_at, 3),
             handover=bool(handover),
             waited=round(freed_at - now, 3),
@@ -289,37 +272,39 @@
         self._freed[shard.first] = FreedShard(move, handover, clock.boottime())
 
     async def _release(
-        self, shard: table.Shard, hold: holds.Hold, now: float
-    ) -> tuple[Evidence, str]:
-        """Waits until the owner can no longer hold a shard.
+        self, shard: table.Shard, hold: holds.Hold
+    ) -> tuple[evidence.Evidence, str]:
+        """Waits until no target holds a shard.
 
-        Retries the release until the owner confirms it, its grant expires or
-        its incarnation ends.
+        Retries the release until a reply proves that, or all grants have
+        expired.
 
         Returns:
-            What shows that the owner doesn't hold the shard, and its handover;
-            that is empty if it didn't confirm the release.
+            The proof, and the owner's handover; that is empty if the owner
+            didn't confirm the release.
         """
         fence = self._leadership.allocate_fence()
         request = target_requests.ReleaseRequest(
             shard.owner, shard.first, shard.last, fence
         )
-        while not self._liveness.has_ended(shard.owner):
+        while True:
+            if self._liveness.has_ended(shard.owner):
+                return evidence.Evidence.OTHER_TARGET, ""
             remaining = hold.until - clock.boottime()
             if remaining <= 0.0:
-                return Evidence.EXPIRED, ""
+                return evidence.Evidence.EXPIRED, ""
             if not self._leadership.is_leader():
                 await asyncio.sleep(PROBE_SECONDS)
                 continue
             seconds = max(remaining, MIN_RELEASE_SECONDS)
             result = await self._client.release(request, seconds)
-            if result.outcome is target_requests.Outcome.DONE:
-                return Evidence.RELEASED, result.reply.handover
-            if result.outcome is target_requests.Outcome.GONE:
+            proof = evidence.judge_release(result)
+            if proof is evidence.Evidence.RELEASED:
+                return proof, result.reply.handover
+            if proof is evidence.Evidence.OTHER_TARGET:
                 self._liveness.record_end(shard.owner)
-                return Evidence.OTHER_TARGET, ""
+                continue
             await asyncio.sleep(min(PROBE_SECONDS, max(remaining, 0.01)))
-        return Evidence.REPLACED, ""
 
     def _write_freed(self, candidates) -> None:
         """Starts to write the new owners of the freed shards to the table."""
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -12,6 +12,7 @@
 from tests.utils import fakes
 
 SERVICE = "desk"
+COLD_SECONDS = 3.0
 MAX_HOLD_SECONDS = 10.0
 HOLD_SECONDS = holds.RENEW_SECONDS + holds.HOLD_BEYOND_RENEWAL_SECONDS
 
@@ -89,6 +90,21 @@
             ]
             assert len(holders) <= 1, (self.now, first, holders)
 
+    def assert_all_keys_held(self):
+        for first, _ in table.split_key_space(4):
+            assert any(
+                target.holds(first, self.now)
+                for target in self.target_client.targets.values()
+            )
+
+    async def pass_without_leader(self, seconds):
+        """Lets time pass while the coordinator does nothing."""
+        end = self.now + seconds
+        while self.now < end:
+            await REAL_SLEEP(0)
+            self.assert_single_holders()
+            self.now += 0.05
+
     def owners(self):
         return {shard.owner.target_id for shard in self.tables[-1].shards}
 
@@ -98,6 +114,18 @@
                 self.target_client.add(name).owner
             )
 
+    def restart(self, name, port=1):
+        """Starts a target anew; its listing still names the one before."""
+        born = self.target_client.targets[name].owner.born + 1
+        return self.target_client.add(name, born, port)
+
+    def list_running_targets(self, cold=()):
+        self.cluster_state.available_owners = [
+            target.owner
+            for name, target in self.target_client.targets.items()
+            if name not in cold
+        ]
+
     def remove_candidate(self, name):
         self.cluster_state.available_owners = [
             o
@@ -169,13 +197,8 @@
     await harness.lead()
     await harness.run(1.0)
     before = harness.target_client.targets["a"]
-    restarted = fakes.FakeTarget(table.Owner("a", 2, "a:1"))
-    harness.target_client.targets["a"] = restarted
-    harness.cluster_state.ended_owners.add(before.owner)
-    harness.cluster_state.available_owners = [
-        restarted.owner,
-        harness.target_client.targets["b"].owner,
-    ]
+    restarted = harness.restart("a")
+    harness.list_running_targets()
     await harness.run(0.5)
     owners = {shard.owner for shard in harness.tables[-1].shards}
     assert before.owner not in owners
@@ -186,6 +209,102 @@
     assert max(accepted) > max(before.granted_fences)
 
 
+RESTARTS = [
+    pytest.param([0.0], 0.05, 1, id="listed at once"),
+    pytest.param([0.0], 1.5, 1, id="listed late"),
+    pytest.param([0.0], 12.0, 1, id="listed long after"),
+    pytest.param([0.5], 0.4, 1, id="down for half a second"),
+    pytest.param([6.0], 0.4, 1, id="down for long"),
+    pytest.param([0.3, 0.3], 0.4, 1, id="twice in a row"),
+    pytest.param([0.3, 0.0, 2.0], 0.0, 1, id="three times in a row"),
+    pytest.param([0.3], 0.4, 2, id="at another address"),
+    pytest.param([0.3, 0.3], 0.4, 2, id="twice, at another address"),
+]
+"""Seconds down, until the restart is listed, and the port after it."""
+
+
+async def _restart_and_list(harness, downtimes, listing_delay, port):
+    """Restarts a target, each time after it was down, and lists it."""
+    for number, seconds in enumerate(downtimes):
+        harness.target_client.targets["a"].is_unresponsive = True
+        harness.target_client.targets["a"].held_until.clear()
+        await harness.run(seconds)
+        harness.restart("a", port if number == len(downtimes) - 1 else 1)
+        await harness.run(1.0 if number else 0.5)
+    await harness.run(listing_delay)
+    harness.list_running_targets(cold="a")
+    await harness.run(COLD_SECONDS)
+    harness.list_running_targets()
+
+
+@pytest.mark.parametrize(("downtimes", "listing_delay", "port"), RESTARTS)
+async def test_restart_under_the_same_id_never_makes_two_holders(
+    harness, downtimes, listing_delay, port
+):
+    harness.add_targets("a", "b", "c")
+    await harness.lead()
+    await harness.run(1.0)
+    await _restart_and_list(harness, downtimes, listing_delay, port)
+    await harness.run(2 * HOLD_SECONDS)
+    harness.assert_all_keys_held()
+
+
+@pytest.mark.parametrize("gap_seconds", [0.0, 0.4, 2.0])
+@pytest.mark.parametrize(("downtimes", "listing_delay", "port"), RESTARTS)
+async def test_restart_around_a_change_of_the_leader_never_makes_two_holders(
+    harness, downtimes, listing_delay, port, gap_seconds
+):
+    harness.add_targets("a", "b", "c")
+    await harness.lead()
+    await harness.run(1.0)
+    harness.restart("a")
+    await harness.run(1.0)
+    harness.store.expire(harness.leadership._lease)
+    await harness.pass_without_leader(gap_seconds)
+    await harness.lead()
+    await _restart_and_list(harness, downtimes, listing_delay, port)
+    await harness.run(MAX_HOLD_SECONDS + HOLD_SECONDS)
+    harness.assert_all_keys_held()
+
+
+@pytest.mark.parametrize("outage_seconds", [0.5, 5.0])
+async def test_restart_while_the_store_is_silent_never_makes_two_holders(
+    harness, outage_seconds
+):
+    harness.add_targets("a", "b", "c")
+    await harness.lead()
+    await harness.run(1.0)
+    harness.store.is_down = True
+    harness.leadership.renewal_failed = True
+    await harness.run(0.2)
+    harness.restart("a")
+    await harness.run(outage_seconds)
+    harness.list_running_targets(cold="a")
+    await harness.run(0.5)
+    harness.store.is_down = False
+    harness.leadership.renewal_failed = False
+    await harness.run(MAX_HOLD_SECONDS + HOLD_SECONDS)
+    harness.assert_all_keys_held()
+
+
+async def test_listing_that_is_behind_the_table_never_makes_two_holders(
+    harness,
+):
+    harness.add_targets("a", "b", "c")
+    earlier = harness.target_client.targets["a"].owner
+    harness.restart("a")
+    harness.list_running_targets()
+    await harness.lead()
+    await harness.run(1.0)
+    harness.store.expire(harness.leadership._lease)
+    harness.cluster_state.available_owners[0] = earlier
+    await harness.lead()
+    await harness.run(1.0)
+    harness.list_running_targets(cold="a")
+    await harness.run(2 * HOLD_SECONDS)
+    harness.assert_all_keys_held()
+
+
 async def test_new_leader_waits_until_longest_grant_expires(harness):
     harness.add_targets("a", "b")
     await harness.lead()
--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 
+import aiohttp
 import result
 
 from jujubeyard.ownership import planner
@@ -196,8 +197,8 @@
         self._read_clock = read_clock
         self.targets: dict[str, FakeTarget] = {}
 
-    def add(self, name: str, born: int = 1) -> FakeTarget:
-        target = FakeTarget(table.Owner(name, born, f"{name}:1"))
+    def add(self, name: str, born: int = 1, port: int = 1) -> FakeTarget:
+        target = FakeTarget(table.Owner(name, born, f"{name}:{port}"))
         self.targets[name] = target
         return target
 
@@ -215,12 +216,15 @@
         return self._return_reply(target, target.release(request))
 
     async def probe(self, _, service: str, owner: table.Owner):
-        if self.targets[owner.target_id].is_unresponsive:
+        target = self.targets[owner.target_id]
+        if target.is_unresponsive or target.owner.address != owner.address:
             return target_requests.Result(target_requests.Outcome.UNKNOWN)
         return target_requests.Result(target_requests.Outcome.DONE)
 
     def _find_responsive_target(self, request) -> FakeTarget:
         target = self.targets[request.target.target_id]
+        if target.owner.address != request.target.address:
+            raise aiohttp.ConnectionTimeoutError
         if target.is_unresponsive:
             raise TimeoutError
         return target
@@ -238,13 +242,11 @@
 
     Attributes:
         available_owners: Owners offered as candidates.
-        ended_owners: Owners whose incarnation has ended.
         pauses: Seconds for which targets want no requests, by target.
     """
 
     def __init__(self):
         self.available_owners: list[table.Owner] = []
-        self.ended_owners: set[table.Owner] = set()
         self.pauses: dict[str, float] = {}
 
     def candidates(self, service: str) -> list[planner.Candidate]:
@@ -255,9 +257,6 @@
     def joined_at(self, service: str) -> float:
         return float("-inf")
 
-    def is_replaced(self, owner: table.Owner) -> bool:
-        return owner in self.ended_owners
-
     def bucket_calls(self, service: str) -> list[float]:
         return [0.0] * 1024
 
