Let a release wait for the grant of its shard that is in progress

Callers would see: two targets run calls of the same keys, if a target confirms a release, restarts, and then gets a grant that was sent before the release. A fence does not help: the new incarnation has seen none.

Cause: the release of a shard was sent beside a renewal in progress. What it proves, it proves of the process that answers; a renewal that has no connection yet may reach a later one.

--- a/src/jujubeyard/ownership/evidence.py
+++ b/src/jujubeyard/ownership/evidence.py
@@ -15,8 +15,8 @@
     """A proof that no target holds a shard any more."""
 
     RELEASED = "released"
-    """The process at the owner's address has confirmed a release. It refuses
-    lower fences."""
+    """The process at the owner's address has confirmed a release that was sent
+    when no grant of the shard was in progress. It refuses lower fences."""
 
     EXPIRED = "grants expired"
     """All grants of the shard that were sent have expired, on a slow clock."""
@@ -36,6 +36,7 @@
     """Returns what the result of a release proves, or None for nothing.
 
     Args:
-        result: Result of a release that was sent to the owner of a shard.
+        result: Result of a release that was sent to the owner of a shard when
+            no grant of the shard was in progress.
     """
     return _PROOF_BY_OUTCOME.get(result.outcome)
--- a/src/jujubeyard/ownership/holds.py
+++ b/src/jujubeyard/ownership/holds.py
@@ -1,5 +1,6 @@
 """Tracks when grants expire and when they must be renewed."""
 
+import asyncio
 import collections.abc
 import dataclasses
 
@@ -29,19 +30,29 @@
 
 @dataclasses.dataclass(slots=True)
 class Hold:
-    """How long the owner of a shard may hold it.
+    """How long a shard may be held at its owner's address.
 
     All times are boot time (`clock.boottime`).
 
     Attributes:
         until: Latest expiry of all grants that may have been sent.
         renew_at: When the next renewal is due.
-        is_sending: Whether a grant request is in progress.
+        grant_task: The latest grant request; None before the first.
     """
 
     until: float
     renew_at: float = 0.0
-    is_sending: bool = False
+    grant_task: asyncio.Task | None = None
+
+    @property
+    def is_sending(self) -> bool:
+        """Whether a grant request is in progress."""
+        return self.grant_task is not None and not self.grant_task.done()
+
+    async def wait_for_grant(self) -> None:
+        """Waits until no grant request is in progress."""
+        while self.is_sending:
+            await asyncio.wait([self.grant_task])
 
 
 class HoldTracker:
@@ -78,7 +89,9 @@
         previous, hold = self._holds_by_first, Hold(0.0)
         self._holds_by_first = {}
         for shard in shards:
-            hold = previous.get(shard.first) or Hold(hold.until)
+            hold = previous.get(shard.first) or Hold(
+                hold.until, grant_task=hold.grant_task
+            )
             self._holds_by_first[shard.first] = hold
 
     def get(self, first: int) -> Hold:
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -283,6 +283,7 @@
             The proof, and the owner's handover; that is empty if the owner
             didn't confirm the release.
         """
+        await hold.wait_for_grant()
         fence = self._leadership.allocate_fence()
         request = target_requests.ReleaseRequest(
             shard.owner, shard.first, shard.last, fence
@@ -385,8 +386,7 @@
         for first in freed:
             shard, hold = self._table.find(first), self._holds.get(first)
             if not hold.is_sending:
-                hold.is_sending = True
-                grant_tasks.append(self._start_task(self._grant(shard, hold)))
+                grant_tasks.append(self._start_grant(shard, hold))
         if grant_tasks:
             await asyncio.wait(grant_tasks, timeout=GRANT_WAIT_SECONDS)
 
@@ -410,21 +410,20 @@
                 continue
             if not renewal_failed and self._may_wait(shard, now):
                 continue
-            hold.is_sending = True
-            self._start_task(self._grant(shard, hold))
+            self._start_grant(shard, hold)
 
     def _may_wait(self, shard: table.Shard, now: float) -> bool:
         """Returns whether a renewal may wait until its owner's pause ends."""
         pause_seconds = self._cluster_state.pause_seconds(shard.owner)
         return self._holds.may_wait(shard.first, now, pause_seconds)
 
-    async def _grant(self, shard: table.Shard, hold: holds.Hold) -> None:
-        try:
-            await self._send_grant(shard, hold)
-        finally:
-            hold.is_sending = False
+    def _start_grant(
+        self, shard: table.Shard, hold: holds.Hold
+    ) -> asyncio.Task:
+        hold.grant_task = self._start_task(self._grant(shard))
+        return hold.grant_task
 
-    async def _send_grant(self, shard: table.Shard, hold: holds.Hold) -> None:
+    async def _grant(self, shard: table.Shard) -> None:
         now = clock.boottime()
         is_current = self._table.find(shard.first) == shard
         if not self._leadership.is_leader() or not is_current:
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -1,5 +1,7 @@
 """Every key has at most one holder while targets or the store fail."""
 
+import asyncio
+
 import pytest
 
 from jujubeyard import clock
@@ -305,6 +307,30 @@
     harness.assert_all_keys_held()
 
 
+async def test_release_waits_for_a_grant_that_is_in_progress(
+    harness, monkeypatch
+):
+    harness.add_targets("a", "b")
+    await harness.lead()
+    await harness.run(1.0)
+    may_arrive = asyncio.Event()
+    grant = harness.target_client.grant
+
+    async def delayed_grant(session, request, seconds):
+        if request.target.target_id == "a":
+            await may_arrive.wait()
+        return await grant(session, request, seconds)
+
+    monkeypatch.setattr(harness.target_client, "grant", delayed_grant)
+    await harness.run(holds.RENEW_SECONDS + 0.1)
+    harness.remove_candidate("a")
+    await harness.run(0.2)
+    harness.restart("a")
+    may_arrive.set()
+    await harness.run(2 * HOLD_SECONDS)
+    assert harness.owners() == {"b"}
+
+
 async def test_new_leader_waits_until_longest_grant_expires(harness):
     harness.add_targets("a", "b")
     await harness.lead()
