Keep the hold of a shard that its owner gets under a higher fence

Callers would see: two targets run calls of the same keys, if an owner that has answered 409 to a grant stops being a candidate just when the table with its new fence is written.

Cause: writing a freed shard's next owner reset the time until which it may be held, also when the "next" owner is the same one, which was asked to release nothing and may hold the shard until its last grant ends. If a move began before the new grant was sent, it found nothing left to wait for.

Change: the hold of such a shard is kept.

Measured: test_higher_fence_for_the_same_owner_does_not_end_its_hold fails without it (two holders); tests/ownership passes.

--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -55,7 +55,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FreedShard:
-    """A shard that no target holds and that waits for its next owner.
+    """A shard that waits for its next owner.
+
+    No target holds it, but for a pinned one, which its owner may hold.
 
     Attributes:
         move: The move that assigns its next owner.
@@ -374,8 +376,9 @@
             for first, freed_shard in freed.items():
                 self._freed.setdefault(first, freed_shard)
             return
-        for first in freed:
-            self._holds.clear(first)
+        for first, freed_shard in freed.items():
+            if not freed_shard.is_pinned:
+                self._holds.clear(first)
             self._moving_firsts.discard(first)
         await self._grant_freed(freed)
         self._client.publish(result.stored)
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -331,6 +331,27 @@
     assert harness.owners() == {"b"}
 
 
+async def test_higher_fence_for_the_same_owner_does_not_end_its_hold(
+    harness, monkeypatch
+):
+    harness.add_targets("a", "b")
+    await harness.lead()
+    await harness.run(1.0)
+    target = harness.target_client.targets["a"]
+    target.highest_fences[min(target.held_until)] += 1
+    grant_freed = harness.coordinator._grant_freed
+
+    async def lose_candidate(freed):
+        target.is_unresponsive = True
+        harness.remove_candidate("a")
+        harness.coordinator.tick(harness.now)
+        await grant_freed(freed)
+
+    monkeypatch.setattr(harness.coordinator, "_grant_freed", lose_candidate)
+    await harness.run(2 * HOLD_SECONDS)
+    assert harness.owners() == {"b"}
+
+
 async def test_new_leader_waits_until_longest_grant_expires(harness):
     harness.add_targets("a", "b")
     await harness.lead()
