Pass bodies of callers on as they were encoded

Cause: the HTTP server for callers was started with its library's default, which decodes bodies, while the header was passed on.

Change: bodies aren't decoded.

--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -96,6 +96,7 @@
             self._start_early_call,
             access_log=None,
             handler_cancellation=True,
+            auto_decompress=False,
             keepalive_timeout=IDLE_TIMEOUT_SECONDS,
             lingering_time=LINGER_SECONDS,
             max_line_size=MAX_HEADER_BYTES,
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the server for callers, also during a shutdown."""
 
 import asyncio
+import gzip
 import io
 
 import pytest
@@ -197,6 +198,26 @@
     assert not harness.calls
 
 
+@pytest.mark.parametrize("encoding", ["gzip", "deflate", "br", "zstd", "odd"])
+@pytest.mark.parametrize(
+    "body", [gzip.compress(b"an order", mtime=0), b"not encoded"]
+)
+async def test_body_in_any_encoding_is_taken_as_it_was_sent(
+    harness, encoding, body
+):
+    reader, writer = await harness.connect()
+    writer.write(
+        b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Call: c1\r\n"
+        b"Content-Encoding: %b\r\nContent-Length: %d\r\n\r\n%b"
+        % (encoding.encode(), len(body), body)
+    )
+    head, _ = await _read_answer(reader)
+    assert head.startswith(b"HTTP/1.1 200 ")
+    assert [call.body for call in harness.calls] == [body]
+    assert ("Content-Encoding", encoding) in harness.calls[0].headers
+    writer.close()
+
+
 async def _send_without_end(harness, start: bytes, repeated: bytes) -> None:
     _, writer = await harness.connect()
     try:
