Read the whole of an answer that is discarded

Callers would see: their call waits until its time is over, though its answer has arrived behind a large one to an earlier call; found by reading in the review.

Cause: ResponseProtocol leaves out answers to other calls, but nobody read their bodies. One of over 128 KiB pauses its connection, and what follows isn't read.

Change: such a body is read to its end, within the limits of the call.

Measured: test_large_answer_to_another_call_does_not_hold_up_the_next fails on the code before (timed out) and passes now; tests of the connections, targets and store: 658 passed.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -106,6 +106,7 @@
                     payload.on_eof(self._finish_answer)
                 return message, payload
             self._is_out_of_sync = True
+            await _discard(payload)
 
     def data_received(self, data: bytes) -> None:
         """Passes data to the parser until the answer is complete.
@@ -162,6 +163,12 @@
         super().connection_lost(exc)
 
 
+async def _discard(payload: aiohttp.StreamReader) -> None:
+    """Reads a body to its end; an unread one pauses its connection."""
+    async for _ in payload.iter_any():
+        pass
+
+
 class Response(aiohttp.ClientResponse):
     """Keeps its protocol, to distinguish a reset from a close."""
 
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -126,6 +126,15 @@
     assert result.answer.body == b"second"
 
 
+async def test_large_answer_to_another_call_does_not_hold_up_the_next(client):
+    large = raw_server.answer("c0", b"x" * bodies.MIB)
+    script = [large, raw_server.answer("c1", b"ok")]
+    async with raw_server.RawServer(script) as server:
+        result = await client.send(_make_call(server.address, "c1"))
+    assert result.outcome is ANSWERED
+    assert result.answer.body == b"ok"
+
+
 @pytest.mark.parametrize(("fresh", "connections"), [(False, 1), (True, 2)])
 async def test_connection_is_reused_unless_fresh_one_is_required(
     client, fresh, connections
