Let targets of the soak start again under their names

Change: restart_target crashes a target up to three times; it starts again under its name, at its address, and is listed up to half a second later. The stand-in's crashed incarnation no longer removes the listing of the one that runs. It starts warm: nodes can't know that an unlisted restart is cold, which is listed as open.

--- a/platform_standins/target.py
+++ b/platform_standins/target.py
@@ -87,6 +87,9 @@
     def peers(self, service: str) -> "list[Target]":
         """Returns all targets of a service that are up."""
 
+    def find_running(self, name: str) -> "Target | None":
+        """Returns the incarnation of a target that is up, if any."""
+
 
 class Target:
     """One incarnation of a target.
@@ -138,8 +141,17 @@
         self._tasks: set[asyncio.Task] = set()
         self._heartbeat_at = time.monotonic()
 
-    async def start(self, host: str, port: int) -> None:
-        """Starts to serve requests and to publish the listing."""
+    async def start(
+        self, host: str, port: int, listing_delay: float = 0.0
+    ) -> None:
+        """Starts to serve requests and to publish the listing.
+
+        Args:
+            host: IP address to listen on.
+            port: TCP port to listen on.
+            listing_delay: Time until the listing is first published, in
+                seconds.
+        """
         server = web.Server(
             self._handle, access_log=None, handler_cancellation=True
         )
@@ -147,7 +159,7 @@
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port, reuse_address=True).start()
         self.is_up = True
-        self._spawn(self._send_heartbeats())
+        self._spawn(self._send_heartbeats(listing_delay))
 
     async def crash(self) -> None:
         """Stops at once; the listing expires after missed heartbeats."""
@@ -174,7 +186,8 @@
 
     # Listing in the store.
 
-    async def _send_heartbeats(self) -> None:
+    async def _send_heartbeats(self, delay: float) -> None:
+        await asyncio.sleep(delay)
         while self.is_up:
             self._publish_listing()
             await asyncio.sleep(HEARTBEAT_SECONDS)
@@ -184,7 +197,8 @@
         )
         while time.monotonic() < remove_at or self._store.faults.is_down():
             await asyncio.sleep(HEARTBEAT_SECONDS / 4)
-        self._store.remove(documents.listing_key(self.name))
+        if self._fleet.find_running(self.name) is None:
+            self._store.remove(documents.listing_key(self.name))
 
     def _publish_listing(self) -> None:
         if self._store.faults.is_down() or self.faults.store_unreachable:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -284,6 +284,25 @@
         await ctx.fleet.add_target(picked.service.name, picked.zone)
 
 
+async def restart_target(ctx: FaultContext) -> None:
+    """Crashes a target up to three times; it starts again under its name.
+
+    It is listed as the incarnation before until some time after its start.
+    """
+    picked = ctx.pick_target()
+    if picked is None:
+        return
+    with ctx.record_disruption("restart", picked.name):
+        for _ in range(ctx.rng.randint(1, 3)):
+            await picked.crash()
+            await ctx.wait(0.05, 1.5)
+            listing_delay = ctx.rng.uniform(0.0, target.HEARTBEAT_SECONDS)
+            picked = await ctx.fleet.restart_target(picked, listing_delay)
+            await ctx.wait(0.2, 3.0)
+            if not picked.is_up or picked.is_draining:
+                return
+
+
 async def cut_target_off(ctx: FaultContext) -> None:
     """Pauses or resets connections to a target that keeps running.
 
@@ -476,5 +495,6 @@
         change_configuration,
         grow_configuration,
         evacuate_zone,
+        restart_target,
     )
 }
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -175,6 +175,12 @@
             if member.is_up and member.service.name == service
         ]
 
+    def find_running(self, name: str) -> target.Target | None:
+        """Returns the incarnation of a target that is up, if any."""
+        return next(
+            (t for t in self.targets if t.is_up and t.name == name), None
+        )
+
     def stable_targets(self) -> list[target.Target]:
         """Returns the targets that are up and not draining."""
         return [t for t in self.targets if t.is_up and not t.is_draining]
@@ -192,6 +198,39 @@
         self._last_target_number += 1
         name = f"{service}-{self._last_target_number}"
         ip = f"{self._ip_prefix}.{TARGET_OCTET_BASE + self._last_target_number}"
+        target_proxy = proxy.Proxy((ip, TARGET_PORT))
+        await target_proxy.start(ip, PUBLIC_TARGET_PORT)
+        self.target_proxies[name] = target_proxy
+        self.observed.zones[name] = zone
+        return await self._start_target(name, service, zone, ip, is_cold)
+
+    async def restart_target(
+        self, crashed: target.Target, listing_delay: float
+    ) -> target.Target:
+        """Starts a target again under its name, at its address.
+
+        Args:
+            crashed: The incarnation before.
+            listing_delay: Time until it is listed, in seconds.
+        """
+        return await self._start_target(
+            crashed.name,
+            crashed.service.name,
+            crashed.zone,
+            crashed.address.partition(":")[0],
+            is_cold=False,
+            listing_delay=listing_delay,
+        )
+
+    async def _start_target(
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        ip: str,
+        is_cold: bool,
+        listing_delay: float = 0.0,
+    ) -> target.Target:
         new_target = target.Target(
             name,
             SERVICES[service],
@@ -203,12 +242,8 @@
             self._rng,
             is_cold,
         )
-        target_proxy = proxy.Proxy((ip, TARGET_PORT))
-        await target_proxy.start(ip, PUBLIC_TARGET_PORT)
-        await new_target.start(ip, TARGET_PORT)
-        self.target_proxies[name] = target_proxy
+        await new_target.start(ip, TARGET_PORT, listing_delay)
         self.targets.append(new_target)
-        self.observed.zones[name] = zone
         return new_target
 
     def spawn(self, node: Node, comment: str = "") -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,9 +7,8 @@
 
 SHORT_SECONDS = 8.0
 SEEDS = [3, 6]
-FIRST_FAULTS = tuple(
-    name for name in faults.ALL if name != "grow_configuration"
-)
+LATER_FAULTS = ("grow_configuration", "restart_target")
+FIRST_FAULTS = tuple(name for name in faults.ALL if name not in LATER_FAULTS)
 REGRESSION_SEEDS = [
     pytest.param(
         4, 25.0, FIRST_FAULTS, id="a reload while a node starts ended it"
