Send no grant to an owner whose address another target has

Callers would see: two targets run calls of the same keys, if an owner gets a higher fence just when another target replies at its address, and the owner's name is back there when the grant arrives. Its keys are given away at once then, since the other target's reply has shown that nobody holds them.

Cause: a grant was sent to an owner that is known to have ended, if the shard was about to get a higher fence; it undoes what the reply has proved. Found by looking at what each proof rests on, not seen in a run.

Change: such a grant isn't sent; the shard moves.

Measured: test_owner_whose_address_another_target_has_gets_no_grant fails without it and passes now; tests/ownership passes.

--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -433,6 +433,8 @@
             return
         if shard.first in self._moving_firsts:
             return
+        if self._liveness.has_ended(shard.owner):
+            return
         renewal_failed = self._leadership.renewal_failed
         seconds = self._holds.start_grant(shard.first, now, renewal_failed)
         request = target_requests.GrantRequest(
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -352,6 +352,29 @@
     assert harness.owners() == {"b"}
 
 
+async def test_owner_whose_address_another_target_has_gets_no_grant(
+    harness, monkeypatch
+):
+    harness.add_targets("a", "b")
+    await harness.lead()
+    await harness.run(1.0)
+    target = harness.target_client.targets["a"]
+    target.highest_fences[min(target.held_until)] += 1
+    grant_freed = harness.coordinator._grant_freed
+
+    restarted = fakes.FakeTarget(table.Owner("a", 2, "a:1"))
+
+    async def end_owner(freed):
+        harness.coordinator._liveness.record_end(target.owner)
+        harness.target_client.targets["a"] = restarted
+        await grant_freed(freed)
+
+    monkeypatch.setattr(harness.coordinator, "_grant_freed", end_owner)
+    await harness.run(2 * HOLD_SECONDS)
+    assert harness.owners() == {"b"}
+    assert not restarted.granted_fences
+
+
 async def test_new_leader_waits_until_longest_grant_expires(harness):
     harness.add_targets("a", "b")
     await harness.lead()
