--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -150,6 +150,7 @@
     Attributes:
         owner: Owner record of the target in the router's shard tables.
         is_unresponsive: Whether requests are neither applied nor answered.
+        is_refusing: Whether connections are refused.
         loses_replies: Whether requests are applied but not answered.
         highest_fences: Highest fence received, by shard.
         held_until: Time at which the hold ends, by shard.
@@ -159,6 +160,7 @@
     def __init__(self, owner: table.Owner):
         self.owner = owner
         self.is_unresponsive = False
+        self.is_refusing = False
         self.loses_replies = False
         self.highest_fences: dict[int, int] = {}
         self.held_until: dict[int, float] = {}
@@ -217,13 +219,15 @@
 
     async def probe(self, _, service: str, owner: table.Owner):
         target = self.targets[owner.target_id]
-        if target.is_unresponsive or target.owner.address != owner.address:
+        is_elsewhere = target.owner.address != owner.address
+        if target.is_unresponsive or target.is_refusing or is_elsewhere:
             return target_requests.Result(target_requests.Outcome.UNKNOWN)
         return target_requests.Result(target_requests.Outcome.DONE)
 
     def _find_responsive_target(self, request) -> FakeTarget:
         target = self.targets[request.target.target_id]
-        if target.owner.address != request.target.address:
+        is_elsewhere = target.owner.address != request.target.address
+        if is_elsewhere or target.is_refusing:
             raise aiohttp.ConnectionTimeoutError
         if target.is_unresponsive:
             raise TimeoutError
