Set up both tests of a higher fence in one place

Measured: both still fail without the mechanism that they guard (each taken out on a scratch copy) and pass with it.

--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -331,9 +331,14 @@
     assert harness.owners() == {"b"}
 
 
-async def test_higher_fence_for_the_same_owner_does_not_end_its_hold(
-    harness, monkeypatch
-):
+async def _play_higher_fence(harness, monkeypatch, act):
+    """Makes "a" answer 409, and acts before it is granted a higher fence.
+
+    Args:
+        harness: The harness, without targets.
+        monkeypatch: The fixture.
+        act: Is called with the target each time before grants are sent.
+    """
     harness.add_targets("a", "b")
     await harness.lead()
     await harness.run(1.0)
@@ -341,36 +346,36 @@
     target.highest_fences[min(target.held_until)] += 1
     grant_freed = harness.coordinator._grant_freed
 
-    async def lose_candidate(freed):
+    async def act_and_grant(freed):
+        act(target)
+        await grant_freed(freed)
+
+    monkeypatch.setattr(harness.coordinator, "_grant_freed", act_and_grant)
+    await harness.run(2 * HOLD_SECONDS)
+
+
+async def test_higher_fence_for_the_same_owner_does_not_end_its_hold(
+    harness, monkeypatch
+):
+    def lose_candidate(target):
         target.is_unresponsive = True
         harness.remove_candidate("a")
         harness.coordinator.tick(harness.now)
-        await grant_freed(freed)
 
-    monkeypatch.setattr(harness.coordinator, "_grant_freed", lose_candidate)
-    await harness.run(2 * HOLD_SECONDS)
+    await _play_higher_fence(harness, monkeypatch, lose_candidate)
     assert harness.owners() == {"b"}
 
 
 async def test_owner_whose_address_another_target_has_gets_no_grant(
     harness, monkeypatch
 ):
-    harness.add_targets("a", "b")
-    await harness.lead()
-    await harness.run(1.0)
-    target = harness.target_client.targets["a"]
-    target.highest_fences[min(target.held_until)] += 1
-    grant_freed = harness.coordinator._grant_freed
-
     restarted = fakes.FakeTarget(table.Owner("a", 2, "a:1"))
 
-    async def end_owner(freed):
+    def end_owner(target):
         harness.coordinator._liveness.record_end(target.owner)
         harness.target_client.targets["a"] = restarted
-        await grant_freed(freed)
 
-    monkeypatch.setattr(harness.coordinator, "_grant_freed", end_owner)
-    await harness.run(2 * HOLD_SECONDS)
+    await _play_higher_fence(harness, monkeypatch, end_owner)
     assert harness.owners() == {"b"}
     assert not restarted.granted_fences
 
