Answer that a call has not run when it never left the node

What callers saw: 504 for calls whose time ended while the node still waited for a connection to a target, and 502 for calls that were not at a target when a planned stop ended. Both promise nothing, so that a call that may run only once is not sent again, though nothing had run.

Cause: aiohttp's total timeout was shorter than the one for the connection, and its end doesn't tell whether anything was sent; at the end of a stop the server knows nothing of what the forwarder knows.

Change: the wait for a connection ends a little before the call's time, so that its end is told apart; a call carries whether it is known not to have run.

--- a/src/jujubeyard/node/calls.py
+++ b/src/jujubeyard/node/calls.py
@@ -6,6 +6,17 @@
 from jujubeyard import codes
 
 
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What is known about a call that is in progress.
+
+    Attributes:
+        is_known_not_run: Whether no target has run the call or may still do so.
+    """
+
+    is_known_not_run: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
     """A call, read completely from its caller.
@@ -20,6 +31,7 @@
         key: The call's key; None if it has none.
         received_at: When the call was read, in monotonic seconds.
         timeout_seconds: How long the caller waits for the reply.
+        progress: What is known about the call while it is in progress.
     """
 
     call_id: str
@@ -31,6 +43,7 @@
     key: int | None
     received_at: float
     timeout_seconds: float
+    progress: Progress = dataclasses.field(default_factory=Progress)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -124,6 +124,7 @@
         )
         if state.is_keyed:
             self._reporter.meter(service.name).count_call(call.key)
+        call.progress.is_known_not_run = True
         reply = await self._try_targets(state)
         self._record_reply(state, reply)
         return reply
@@ -194,13 +195,16 @@
         state.tried_targets.append(target_id)
         state.queue_ratio = target.load.queue_ratio(target.listing.slots, now)
         target.load.in_flight += 1
+        state.call.progress.is_known_not_run = False
         try:
             result = await self._client.send(
                 self._make_outgoing_call(state, target)
             )
         finally:
             target.load.in_flight -= 1
-        return self._process_result(state, target, result, now)
+        reply = self._process_result(state, target, result, now)
+        state.call.progress.is_known_not_run = not state.may_have_run
+        return reply
 
     def _make_outgoing_call(self, state, target) -> upstream.OutgoingCall:
         call = state.call
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -202,12 +202,19 @@
             async with limit:
                 return await self._handle_call(call)
         except TimeoutError:
+            if call.progress.is_known_not_run:
+                return calls.make_error_reply(
+                    codes.ResultCode.SHUTTING_DOWN, SHUTDOWN_RETRY_SECONDS
+                )
             return calls.make_error_reply(codes.ResultCode.OUTCOME_UNKNOWN)
         finally:
             self._call_limits.discard(limit)
 
     def end_calls(self) -> None:
-        """Answers all calls in progress at once, with an unknown outcome."""
+        """Answers all calls in progress at once.
+
+        Their outcome is unknown, but for those that no target may have run.
+        """
         now = asyncio.get_running_loop().time()
         for limit in self._call_limits:
             limit.reschedule(now)
--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -17,6 +17,9 @@
 MB, of which a node without calls uses a quarter."""
 
 CONNECT_TIMEOUT_SECONDS = 0.4
+MIN_SENT_SECONDS = 0.005
+"""Time that is left of a call's timeout when the wait for a connection ends, so
+that a call whose time ends in that wait is known as not sent."""
 
 
 class SendOutcome(enum.Enum):
@@ -118,9 +121,7 @@
             if call.on_fresh_connection
             else self._reusing_session
         )
-        timeout = aiohttp.ClientTimeout(
-            total=call.timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
-        )
+        timeout = _make_timeout(call.timeout_seconds)
         try:
             async with session.request(
                 call.method,
@@ -143,6 +144,15 @@
             return SendResult(SendOutcome.BROKEN, detail=repr(exc))
 
 
+def _make_timeout(seconds: float) -> aiohttp.ClientTimeout:
+    """Returns the limits of a call that may take a number of seconds."""
+    connect_seconds = max(seconds - MIN_SENT_SECONDS, seconds / 2)
+    return aiohttp.ClientTimeout(
+        total=seconds,
+        sock_connect=min(CONNECT_TIMEOUT_SECONDS, connect_seconds),
+    )
+
+
 def _classify_answer(resp: connections.Response, body: bytes) -> SendResult:
     """Returns the result of an answer that was read to its end.
 
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -77,6 +77,7 @@
         self.log = fakes.RecordingJournal()
         prefixes = changes.Prefixes("op/", "targets/", "own/")
         self.view = cluster_view.ClusterView(prefixes, None, None, self.log)
+        self.call = None
         self.view.nodes = {"n1"}
         self.view.routes = match.RouteTable(
             config.Configuration(1, ROUTES, SERVICES, 1000)
@@ -126,6 +127,7 @@
             loop.time(),
             seconds,
         )
+        self.call = call
         return await self.forwarder.serve(call)
 
 
@@ -231,6 +233,25 @@
         assert reply.retry_after > 0.0
 
 
+@pytest.mark.parametrize(
+    ("result", "is_known_not_run"),
+    [(NOT_RUN, True), (NOT_SENT, True), (BROKEN, False), (TIMED_OUT, False)],
+)
+async def test_progress_says_whether_a_call_may_have_run(
+    harness, result, is_known_not_run
+):
+    async def send(call):
+        seen.append(harness.call.progress.is_known_not_run)
+        return result
+
+    seen = []
+    harness.add_target("t1")
+    harness.client.script = [send]
+    await harness.serve("order")
+    assert seen == [False]
+    assert harness.call.progress.is_known_not_run is is_known_not_run
+
+
 async def test_retry_goes_to_another_target(harness):
     harness.add_target("t1")
     harness.add_target("t2")
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -141,6 +141,19 @@
     writer.close()
 
 
+async def test_unsent_call_that_outlasts_the_shutdown_is_refused(harness):
+    harness.delay_seconds = 10.0
+    reader, writer = await harness.connect()
+    writer.write(REQUEST)
+    await asyncio.sleep(0.05)
+    harness.calls[0].progress.is_known_not_run = True
+    harness.server.end_calls()
+    head, _ = await _read_answer(reader)
+    assert head.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After" in head
+    writer.close()
+
+
 async def test_call_is_cancelled_when_caller_disconnects(harness):
     harness.delay_seconds = 5.0
     _, writer = await harness.connect()
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -1,6 +1,8 @@
 """Tests of how the outcome of a call is classified, with a scripted target."""
 
 import asyncio
+import contextlib
+import socket
 
 import pytest
 
@@ -101,6 +103,20 @@
     assert result.outcome is upstream.SendOutcome.NOT_SENT
 
 
+async def test_call_whose_time_ends_before_a_connection_is_not_sent(client):
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+        host, port = listener.getsockname()
+        with contextlib.ExitStack() as stack:
+            for _ in range(4):
+                filler = stack.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex((host, port))
+            result = await client.send(
+                _make_call(f"{host}:{port}", seconds=0.15)
+            )
+    assert result.outcome is upstream.SendOutcome.NOT_SENT
+
+
 @pytest.mark.parametrize("method", ["GET", "DELETE", "PUT", "POST"])
 async def test_client_does_not_retry(client, method):
     script = [raw_server.answer("c1")], [CLOSE], [raw_server.answer("c2")]
