Learn the speed of targets from a longer time than their demand

Cause: the leader knew a target's capacity from calls of the last seconds (half weight after 3 s), some 15 calls at this size. With heavy tails and noisy machines that is wrong by a quarter at each look, so that shards moved to owners that merely had cheap calls, and away again.

Change: a target's speed is the ratio of its calls to usual ones over 15 s, so that calls that all cost more leave it as it is; a recent ratio that differs by more than 1.6 takes its place, so that a target that turns slow is known within seconds. Targets that are gone are forgotten.

--- a/src/jujubeyard/ownership/demand.py
+++ b/src/jujubeyard/ownership/demand.py
@@ -27,6 +27,22 @@
 HALF_LIFE_SECONDS = 1.5
 """Time after which a counted call has half its weight."""
 
+RECENT_WORK_HALF_LIFE_SECONDS = 3.0
+SPEED_HALF_LIFE_SECONDS = 15.0
+"""Time after which a completed call has half its weight in a target's speed.
+The few calls of a shorter time would say more of those calls than of it."""
+
+CHANGED_SPEED_RATIO = 1.6
+"""Ratio of a target's recent work to what its speed predicts, or the inverse,
+from which its speed is taken to have changed."""
+
+MIN_KEPT_SAMPLES = 0.01
+"""Weighted number of calls below which a target is forgotten."""
+
+MIN_WORK_SECONDS = 1e-6
+MIN_RECENT_SAMPLES = 6.0
+"""Weighted number of recent calls below which they don't show a change."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
@@ -80,11 +96,87 @@
         return Report(self._service, calls, work)
 
 
+@dataclasses.dataclass(slots=True)
+class WorkSums:
+    """Decaying sums over calls that a target completed.
+
+    Attributes:
+        count: Number of calls.
+        seconds: Their processing times.
+        usual_seconds: Processing times of as many usual calls at that time.
+    """
+
+    count: float = 0.0
+    seconds: float = 0.0
+    usual_seconds: float = 0.0
+
+    def add(self, count: int, seconds: float, usual_seconds: float) -> None:
+        """Adds calls.
+
+        Args:
+            count: Number of calls.
+            seconds: Sum of their processing times.
+            usual_seconds: Sum of the times that usual calls take.
+        """
+        self.count += count
+        self.seconds += seconds
+        self.usual_seconds += usual_seconds
+
+    def decay(self, factor: float) -> None:
+        """Multiplies all sums by a factor."""
+        self.count *= factor
+        self.seconds *= factor
+        self.usual_seconds *= factor
+
+    def slowness(self) -> float:
+        """Returns the ratio of the times to those of usual calls."""
+        if not self.usual_seconds:
+            return 1.0
+        return self.seconds / self.usual_seconds
+
+
+@dataclasses.dataclass(slots=True)
+class TargetWork:
+    """What is known of the speed of a target.
+
+    Attributes:
+        recent: Calls of the last seconds.
+        long_term: Calls of a longer time.
+    """
+
+    recent: WorkSums = dataclasses.field(default_factory=WorkSums)
+    long_term: WorkSums = dataclasses.field(default_factory=WorkSums)
+
+    def add(self, count: int, seconds: float, usual_seconds: float) -> None:
+        """Adds calls; see `WorkSums.add`."""
+        self.recent.add(count, seconds, usual_seconds)
+        self.long_term.add(count, seconds, usual_seconds)
+
+    def decay(self, age: float) -> None:
+        """Reduces the weight of all calls after a time in seconds."""
+        self.recent.decay(0.5 ** (age / RECENT_WORK_HALF_LIFE_SECONDS))
+        self.long_term.decay(0.5 ** (age / SPEED_HALF_LIFE_SECONDS))
+
+    def measured(self, mean_seconds: float) -> tuple[float, float]:
+        """Returns the weighted number of calls, and their present mean time.
+
+        Args:
+            mean_seconds: Present mean time at a target without slowness, in
+                seconds.
+        """
+        usual = self.long_term.slowness() * mean_seconds
+        recent = self.recent.seconds / max(self.recent.count, 1.0)
+        change = recent / max(usual, MIN_WORK_SECONDS)
+        is_same = 1 / CHANGED_SPEED_RATIO < change < CHANGED_SPEED_RATIO
+        if is_same or self.recent.count < MIN_RECENT_SAMPLES:
+            return self.long_term.count, usual
+        return self.recent.count, recent
+
+
 class DemandEstimate:
     """Estimated demand of one service, from the reports of all nodes.
 
-    Counts of calls decay exponentially with age. Processing times decay with
-    twice that half-life.
+    Counts of calls and processing times decay exponentially with age.
 
     Attributes:
         calls: Number of calls by bucket, weighted by age.
@@ -94,7 +186,7 @@
     def __init__(self):
         self.calls = [0.0] * BUCKETS
         self.samples = 0.0
-        self._work: dict[str, list[float]] = {}
+        self._work: dict[str, TargetWork] = {}
         self._decayed_at = 0.0
 
     def add(self, report: Report, now: float) -> None:
@@ -109,10 +201,11 @@
             if 0 <= bucket < BUCKETS:
                 self.calls[bucket] += count
                 self.samples += count
+        usual_seconds = self.mean_work_seconds()
         for target_id, (count, seconds) in report.work.items():
-            sums = self._work.setdefault(target_id, [0.0, 0.0])
-            sums[0] += count
-            sums[1] += seconds
+            target_work = self._work.setdefault(target_id, TargetWork())
+            usual = count * usual_seconds or seconds
+            target_work.add(count, seconds, usual)
 
     def rate_factor(self) -> float:
         """Returns the ratio of calls per second to the weighted calls.
@@ -141,18 +234,34 @@
             target_id: Name of the target.
 
         Returns:
-            The weighted number of calls, and their mean processing time in
-            seconds; 0.0 if there were none.
+            The weighted number of calls, and the present mean processing time
+            in seconds; 0.0 if there were none.
         """
-        count, seconds = self._work.get(target_id, (0.0, 0.0))
-        return count, seconds / count if count else 0.0
+        target_work = self._work.get(target_id)
+        if target_work is None:
+            return 0.0, 0.0
+        return target_work.measured(
+            self.mean_work_seconds() / self._mean_slowness()
+        )
 
     def mean_work_seconds(self) -> float:
         """Returns the mean processing time at all targets, in seconds."""
-        count = sum(sums[0] for sums in self._work.values())
-        seconds = sum(sums[1] for sums in self._work.values())
+        recent = [target_work.recent for target_work in self._work.values()]
+        count = sum(sums.count for sums in recent)
+        seconds = sum(sums.seconds for sums in recent)
         return seconds / count if count else 0.0
 
+    def _mean_slowness(self) -> float:
+        """Returns the mean slowness of all targets.
+
+        It is above 1.0 while calls of all targets cost more than before.
+        """
+        sums = [target_work.long_term for target_work in self._work.values()]
+        usual_seconds = sum(part.usual_seconds for part in sums)
+        if not usual_seconds:
+            return 1.0
+        return sum(part.seconds for part in sums) / usual_seconds
+
     def _decay(self, now: float) -> None:
         if not self._decayed_at:
             self._decayed_at = now
@@ -163,9 +272,13 @@
         factor = 0.5 ** (age / HALF_LIFE_SECONDS)
         self.calls = [count * factor for count in self.calls]
         self.samples *= factor
-        for sums in self._work.values():
-            sums[0] *= factor**0.5
-            sums[1] *= factor**0.5
+        for target_work in self._work.values():
+            target_work.decay(age)
+        self._work = {
+            target_id: target_work
+            for target_id, target_work in self._work.items()
+            if target_work.long_term.count > MIN_KEPT_SAMPLES
+        }
 
 
 def _bucket_of(key: int) -> int:
