Plan moves of shards beside those that last

Cause: a move lasts until its old owner has ended the work on the keys, 1.1 s at the median and up to 3.8 s. Until then empty targets got nothing, the plan counted the shard at its old owner and chose the same one again, and eight moves at a time was the limit for any number of shards.

Change: plans take shards that move for those of their next owner and leave them alone, so that empty targets are filled at once; a sixteenth of the shards may move at a time (eight, as before, up to 128 shards).

Evidence: test_new_target_gets_keys_while_a_lost_one_still_holds_its_own fails on the code before; planner tests for moves in progress. 131 ownership tests pass.

--- a/src/jujubeyard/ownership/planner.py
+++ b/src/jujubeyard/ownership/planner.py
@@ -29,6 +29,12 @@
 """
 
 MAX_BALANCE_MOVES = 8
+"""Maximum number of moves in a plan."""
+
+MAX_MOVING_SHARE = 1 / 16
+"""Share of the shards that may be moving at a time while loads are balanced. A
+move lasts as long as the work that its old owner still has."""
+
 MAX_DESTINATIONS = 4
 """Number of least loaded targets considered as the destination of a move."""
 
@@ -256,17 +262,24 @@
     return moves
 
 
+def max_moving_shards(shards: int) -> int:
+    """Returns how many shards may move at a time while loads are balanced."""
+    return max(MAX_BALANCE_MOVES, int(MAX_MOVING_SHARE * shards))
+
+
 def rebalance(
     shards: collections.abc.Sequence[table.Shard],
     rates: collections.abc.Sequence[float],
     candidates: collections.abc.Sequence[Candidate],
+    moving_indexes: collections.abc.Set[int] = frozenset(),
 ) -> list[Move]:
     """Returns the moves that reduce the calls in the system most.
 
     Args:
-        shards: All shards of the table.
+        shards: All shards of the table; a moving one has its next owner.
         rates: Calls per second of each shard.
         candidates: Targets that may own keys.
+        moving_indexes: Indexes of shards that are already being moved.
 
     Returns:
         At most `MAX_BALANCE_MOVES` moves, chosen greedily.
@@ -278,7 +291,9 @@
     owners = [shard.owner for shard in shards]
     moves: list[Move] = []
     while len(moves) < MAX_BALANCE_MOVES:
-        move = _find_best_move(owners, rates, load_model, mean_rate)
+        move = _find_best_move(
+            owners, rates, load_model, mean_rate, moving_indexes
+        )
         if move is None or any(move.index == m.index for m in moves):
             break
         load_model.apply_move(rates[move.index], owners[move.index], move.to)
@@ -292,28 +307,31 @@
     rates: collections.abc.Sequence[float],
     candidates: collections.abc.Sequence[Candidate],
     share: float,
+    moving_indexes: collections.abc.Set[int] = frozenset(),
 ) -> list[Move]:
     """Returns moves that give shards to targets that have none.
 
     Args:
-        shards: All shards of the table.
+        shards: All shards of the table; a moving one has its next owner.
         rates: Calls per second of each shard.
         candidates: Targets that may own keys.
         share: Number of shards that each of them gets, as a share of the mean
             number of shards per target.
+        moving_indexes: Indexes of shards that are already being moved.
     """
     counts = {candidate.owner: 0 for candidate in candidates}
     indexes: dict[table.Owner, list[int]] = {owner: [] for owner in counts}
     for index, shard in enumerate(shards):
         if shard.owner in counts:
             counts[shard.owner] += 1
-            indexes[shard.owner].append(index)
+            if index not in moving_indexes:
+                indexes[shard.owner].append(index)
     new_count = max(1, int(share * len(shards) / max(len(counts), 1)))
     moves = []
     for owner in [owner for owner, count in counts.items() if not count]:
         for _ in range(new_count):
             source = max(counts, key=counts.__getitem__)
-            if counts[source] <= new_count:
+            if counts[source] <= new_count or not indexes[source]:
                 break
             index = min(indexes[source], key=lambda i: rates[i])
             indexes[source].remove(index)
@@ -324,13 +342,15 @@
 
 
 def _find_best_move(
-    owners, rates, load_model: LoadModel, mean_rate: float
+    owners, rates, load_model: LoadModel, mean_rate: float, moving_indexes
 ) -> Move | None:
     """Returns the move from the busiest owner that saves the most calls."""
     owners_by_load = load_model.owners_by_added_calls(mean_rate)
     source = owners_by_load[-1]
     source_indexes = [
-        index for index, owner in enumerate(owners) if owner == source
+        index
+        for index, owner in enumerate(owners)
+        if owner == source and index not in moving_indexes
     ]
     best, best_gain = None, 0.0
     for index in source_indexes:
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -132,7 +132,7 @@
         self._table: table.ShardTable | None = None
         self._holds = holds.HoldTracker(max_hold_seconds)
         self._liveness = liveness.OwnerLiveness()
-        self._moving_firsts: set[int] = set()
+        self._destinations: dict[int, table.Owner] = {}
         self._freed: dict[int, FreedShard] = {}
         self._renewal_failed_before = False
         self._is_writing = False
@@ -191,7 +191,7 @@
         moving_indexes = {
             index
             for index, shard in enumerate(shards)
-            if shard.first in self._moving_firsts
+            if shard.first in self._destinations
         }
         moves = planner.reassign_orphaned_shards(
             shards, rates, candidates, moving_indexes
@@ -201,18 +201,20 @@
             moves = self._balance(shards, rates, candidates, moving_indexes)
         for move in moves:
             shard = shards[move.index]
-            self._moving_firsts.add(shard.first)
+            self._destinations[shard.first] = move.to
             self._start_task(self._free_shard(shard, move, now))
 
     def _balance(
         self, shards, rates, candidates, moving_indexes
     ) -> list[planner.Move]:
         loads_known = self._cluster_state.may_balance(self.service)
-        if not moving_indexes:
-            share = JOIN_SHARE if loads_known else UNKNOWN_LOAD_JOIN_SHARE
-            moves = planner.fill_empty_targets(shards, rates, candidates, share)
-            if moves:
-                return moves
+        planned = self._plan_ahead(shards)
+        share = JOIN_SHARE if loads_known else UNKNOWN_LOAD_JOIN_SHARE
+        moves = planner.fill_empty_targets(
+            planned, rates, candidates, share, moving_indexes
+        )
+        if moves:
+            return moves
         if not loads_known:
             return []
         bucket_keys = demand.BUCKET_KEYS
@@ -222,9 +224,9 @@
         if hot_indexes and self._may_write():
             self._split_shards(hot_indexes)
             return []
-        if len(moving_indexes) >= planner.MAX_BALANCE_MOVES:
+        if len(moving_indexes) >= planner.max_moving_shards(len(shards)):
             return []
-        moves = planner.rebalance(shards, rates, candidates)
+        moves = planner.rebalance(planned, rates, candidates, moving_indexes)
         now = clock.boottime()
         if (
             not any(move.is_urgent for move in moves)
@@ -232,7 +234,16 @@
         ):
             return []
         self._next_non_urgent_at = now + NON_URGENT_INTERVAL_SECONDS
-        return [move for move in moves if move.index not in moving_indexes]
+        return moves
+
+    def _plan_ahead(self, shards) -> list[table.Shard]:
+        """Returns the shards as they are once all moves have ended."""
+        return [
+            dataclasses.replace(
+                shard, owner=self._destinations.get(shard.first, shard.owner)
+            )
+            for shard in shards
+        ]
 
     def _split_shards(self, indexes: list[int]) -> None:
         calls = self._cluster_state.bucket_calls(self.service)
@@ -313,7 +324,7 @@
         """Starts to write the new owners of the freed shards to the table."""
         if not self._freed or not candidates or not self._may_write():
             return
-        more_expected = len(self._moving_firsts) > len(self._freed)
+        more_expected = len(self._destinations) > len(self._freed)
         oldest = min(
             freed_shard.freed_at for freed_shard in self._freed.values()
         )
@@ -379,7 +390,7 @@
         for first, freed_shard in freed.items():
             if not freed_shard.is_pinned:
                 self._holds.clear(first)
-            self._moving_firsts.discard(first)
+            self._destinations.pop(first, None)
         await self._grant_freed(freed)
         self._client.publish(result.stored)
 
@@ -407,7 +418,7 @@
             hold = self._holds.get(shard.first)
             if hold.is_sending or hold.renew_at > now:
                 continue
-            if shard.first in self._moving_firsts:
+            if shard.first in self._destinations:
                 continue
             if not self._liveness.is_available(shard.owner):
                 continue
@@ -431,7 +442,7 @@
         is_current = self._table.find(shard.first) == shard
         if not self._leadership.is_leader() or not is_current:
             return
-        if shard.first in self._moving_firsts:
+        if shard.first in self._destinations:
             return
         if self._liveness.has_ended(shard.owner):
             return
@@ -477,9 +488,9 @@
     def _start_refence(self, shard: table.Shard) -> None:
         """Assigns a shard to its owner again, with a higher fence."""
         current = self._table.find(shard.first)
-        if current != shard or shard.first in self._moving_firsts:
+        if current != shard or shard.first in self._destinations:
             return
-        self._moving_firsts.add(shard.first)
+        self._destinations[shard.first] = shard.owner
         move = planner.Move(0, shard.owner, "owner has seen a higher fence")
         self._freed[shard.first] = FreedShard(
             move, "", clock.boottime(), is_pinned=True
--- a/tests/ownership/test_planner.py
+++ b/tests/ownership/test_planner.py
@@ -1,5 +1,7 @@
 """Choice of moves and splits for given loads."""
 
+import dataclasses
+
 import pytest
 
 from jujubeyard.ownership import planner
@@ -160,3 +162,36 @@
     assert waits == sorted(waits)
     assert waits[4] < 0.3
     assert waits[30] > 5
+
+
+def test_busiest_owner_is_relieved_once_while_a_move_from_it_lasts():
+    candidates = _candidates(a=10.0, b=10.0, c=10.0, d=10.0)
+    shards = _shards(*"aaabbbcd")
+    rates = [4.0, 3.5, 3.5, 4.0, 3.5, 3.5, 1.0, 1.0]
+    first = planner.rebalance(shards, rates, candidates)[0]
+    planned = list(shards)
+    planned[first.index] = dataclasses.replace(
+        shards[first.index], owner=first.to
+    )
+    moves = planner.rebalance(planned, rates, candidates, {first.index})
+    assert first.index not in {move.index for move in moves}
+    sources = [planned[move.index].owner.target_id for move in moves]
+    assert sources.count(shards[first.index].owner.target_id) <= 1
+    assert len(set(sources)) >= 1
+
+
+def test_empty_target_is_filled_while_other_shards_move():
+    candidates = _candidates(a=1.0, b=1.0, c=1.0)
+    shards = _shards(*"aaaabbbb")
+    moves = planner.fill_empty_targets(shards, [1.0] * 8, candidates, 0.9, {0})
+    assert len(moves) == 2
+    assert {move.to for move in moves} == {_owner("c")}
+    assert 0 not in {move.index for move in moves}
+
+
+def test_no_moves_are_planned_again_while_they_last():
+    candidates = _candidates(a=1.0, b=1.0)
+    planned = _shards(*"aaab")
+    assert not planner.fill_empty_targets(
+        planned, [1.0] * 4, candidates, 0.9, {3}
+    )
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -175,6 +175,21 @@
     assert {s.handover for s in harness.tables[-1].shards} == {"", "h"}
 
 
+async def test_new_target_gets_keys_while_a_lost_one_still_holds_its_own(
+    harness,
+):
+    harness.add_targets("a", "b")
+    await harness.lead()
+    await harness.run(1.0)
+    harness.target_client.targets["a"].is_unresponsive = True
+    harness.remove_candidate("a")
+    await harness.run(0.2)
+    harness.add_targets("c")
+    await harness.run(1.0)
+    assert "a" in harness.owners()
+    assert "c" in harness.owners()
+
+
 @pytest.mark.parametrize("loses_answers", [False, True])
 async def test_shards_move_only_after_grants_of_unresponsive_target_expire(
     harness, loses_answers
