Send no call over a connection that is reset at once

A 502 promises nothing, so that a call that may run only once is lost with it, though nothing has run.

Cause: a target that has no connection left accepts one more and resets it. The node wrote the request as soon as it was connected, before the reset arrived, and could not tell any more whether the request had been taken.

Change: a new connection is used after as much time as it took to connect, at most 5 ms. A reset that arrives until then ends the attempt as not sent, so that any call may go to another target or is refused with a Retry-After.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -4,6 +4,8 @@
 are discarded, and a connection that brings more than was asked for is closed.
 """
 
+import asyncio
+import errno
 import socket
 import struct
 
@@ -29,6 +31,10 @@
 """Size of what is parsed at once."""
 
 KEEPALIVE_TIMEOUT_SECONDS = 4.0
+MAX_RESET_WAIT_SECONDS = 0.005
+"""Longest time in which the reset of a new connection is awaited before it is
+used; else that is as long as it took to connect."""
+
 TCP_USER_TIMEOUT_MS = 2000
 """How long sent data may stay unacknowledged by the peer's kernel before the
 connection is closed."""
@@ -209,6 +215,27 @@
                 return conn
             conn.close()
 
+    async def _create_connection(self, req, traces, timeout):
+        """Returns a new connection that its peer hasn't reset at once.
+
+        A peer whose connections are all in use accepts a further one and resets
+        it. That arrives about as soon as the connection itself; a request that
+        waits for it is known not to have been sent.
+
+        Raises:
+            aiohttp.ClientConnectorError: There is no connection.
+        """
+        started_at = self._loop.time()
+        proto = await super()._create_connection(req, traces, timeout)
+        connect_seconds = self._loop.time() - started_at
+        await asyncio.sleep(min(connect_seconds, MAX_RESET_WAIT_SECONDS))
+        if not proto.is_connected():
+            error = ConnectionResetError(
+                errno.ECONNRESET, "reset before a request was sent"
+            )
+            raise aiohttp.ClientConnectorError(req.connection_key, error)
+        return proto
+
 
 def _make_socket(address_info) -> socket.socket:
     family, kind, proto, _, _ = address_info
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -103,6 +103,24 @@
     assert result.outcome is upstream.SendOutcome.NOT_SENT
 
 
+@pytest.mark.parametrize("fresh", [False, True])
+async def test_connection_that_is_reset_at_once_carries_no_call(client, fresh):
+    def reset(_, writer):
+        accepted.append(writer)
+        sock = writer.get_extra_info("socket")
+        linger = raw_server.RESET_ON_CLOSE
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+    accepted = []
+    server = await asyncio.start_server(reset, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with server:
+        result = await client.send(_make_call(f"{host}:{port}", fresh=fresh))
+    assert result.outcome is upstream.SendOutcome.NOT_SENT
+    assert len(accepted) == 1
+
+
 async def test_call_whose_time_ends_before_a_connection_is_not_sent(client):
     with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
         host, port = listener.getsockname()
