Say when a call found no target for lack of room

A call that no target admits was refused the same way whether there is no target, no owner, or only no room. A queue at the node needs to tell them apart: only a call that lacks room is worth waiting.

CallState.lacks_room is set by the selection when the target is full or its queue is too long for the call, and cleared before each selection; retry_after says when there will be room. Nothing reads it yet. tests/node/ test_forward.py passes.

--- a/src/jujubeyard/node/attempts.py
+++ b/src/jujubeyard/node/attempts.py
@@ -32,6 +32,8 @@
         latest_code: Result code of the latest attempt.
         retry_after: When the caller should retry if the call is refused, in
             seconds.
+        lacks_room: Whether the latest selection found no target only because
+            none has room for the call; `retry_after` says when one will.
     """
 
     call: calls.Call
@@ -45,6 +47,7 @@
     queue_ratio: float = 0.0
     latest_code: codes.ResultCode = codes.ResultCode.NO_TARGET
     retry_after: float = NO_TARGET_RETRY_SECONDS
+    lacks_room: bool = False
 
     @property
     def is_keyed(self) -> bool:
--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -77,6 +77,7 @@
             state: The call; if no target admits it, its latest code and the
                 time until a retry say why.
         """
+        state.lacks_room = False
         if state.is_keyed:
             target = await self._owner_lookup.find_owner(state)
         else:
@@ -177,6 +178,7 @@
             expected_seconds, bound, state.remaining_seconds()
         ):
             state.latest_code = codes.ResultCode.OVERLOADED
+            state.lacks_room = True
             state.retry_after = admission.retry_after(
                 expected_seconds, objective
             )
