Add the decisions about room at targets with limited queues

Sixty nodes that each see a part of the calls overfill the one owner of a hot key: the bound on a call's expected time lets queues grow longer than a target can hold, and reports are up to a second old. Nothing knows how much a target can hold, or that one turns calls away of itself.

--- /dev/null
+++ b/src/jujubeyard/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: room at targets, pacing, refusals."""
--- /dev/null
+++ b/src/jujubeyard/scheduling/queue_limits.py
@@ -0,0 +1,151 @@
+"""Learns how many calls can wait at a target.
+
+Targets don't say how many. One that turns a call away, or resets its
+connection, while many wait has shown it. The targets of a service are taken to
+be alike.
+"""
+
+import dataclasses
+
+ADJUSTMENT = 0.5
+"""Part of the difference by which a new observation changes the limit."""
+
+MAX_GROWTH = 1.5
+"""Factor by which one report may raise the limit."""
+
+RAISE_SECONDS = 10.0
+"""Time without a full target after which the limit is raised by one call."""
+
+FORGET_SECONDS = 120.0
+"""Time without a full target after which no limit is known."""
+
+EVIDENCE_SECONDS = 30.0
+"""Time for which the longest reported queue is remembered."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedQueue:
+    """A long queue that a target reported.
+
+    Attributes:
+        waiting: Number of waiting calls.
+        target_id: The target.
+        at: When it was reported, in monotonic seconds.
+    """
+
+    waiting: int
+    target_id: str
+    at: float
+
+
+@dataclasses.dataclass(slots=True)
+class QueueLimit:
+    """The number of calls that can wait at each target of a service.
+
+    Attributes:
+        waiting: The limit; None while it isn't known.
+        full_at: When a target was last full, in monotonic seconds.
+        own_full_at: When this node itself last found one full.
+        raised_at: When the limit was last raised or learned.
+        longest: The longest queues of two targets that were reported lately.
+    """
+
+    waiting: float | None = None
+    full_at: float = 0.0
+    own_full_at: float = 0.0
+    raised_at: float = 0.0
+    longest: list[ReportedQueue] = dataclasses.field(default_factory=list)
+
+    def observe_queue(
+        self, target_id: str, waiting: int, was_full: bool, now: float
+    ) -> None:
+        """Records the queue that a target reported; so many calls fit.
+
+        Args:
+            target_id: The target.
+            waiting: Number of waiting calls.
+            was_full: Whether the target itself has been full before. Only then
+                its report may raise the limit.
+            now: Monotonic time, in seconds.
+        """
+        if not waiting:
+            return
+        self._remember(ReportedQueue(waiting, target_id, now))
+        if was_full and self.waiting is not None and waiting > self.waiting:
+            self.waiting = min(float(waiting), MAX_GROWTH * self.waiting)
+
+    def _remember(self, queue: ReportedQueue) -> None:
+        """Keeps the longest recent queues of two targets."""
+        recent = [
+            other
+            for other in self.longest
+            if queue.at - other.at <= EVIDENCE_SECONDS
+            and not (
+                other.target_id == queue.target_id
+                and other.waiting <= queue.waiting
+            )
+        ]
+        if all(other.target_id != queue.target_id for other in recent):
+            recent.append(queue)
+        recent.sort(key=lambda other: -other.waiting)
+        self.longest = recent[:2]
+
+    def shows_full(self, waiting: int, slots: int, now: float) -> bool:
+        """Returns whether a target with such a queue may be full.
+
+        It isn't if longer queues were possible a short time ago. Of the two
+        longest the shorter one counts, as a target may report nonsense.
+
+        Args:
+            waiting: Number of waiting calls.
+            slots: Number of calls that the target runs at once.
+            now: Monotonic time, in seconds.
+        """
+        if waiting < slots:
+            return False
+        return all(
+            waiting >= queue.waiting
+            for queue in self.longest[1:]
+            if now - queue.at <= EVIDENCE_SECONDS
+        )
+
+    def observe_full(self, waiting: int, now: float) -> None:
+        """Records that a target with such a queue took no further call.
+
+        Args:
+            waiting: Number of waiting calls.
+            now: Monotonic time, in seconds.
+        """
+        self.own_full_at = now
+        self.merge(waiting, now)
+
+    def merge(self, waiting: float, full_at: float) -> None:
+        """Applies a limit that this node or another one has observed.
+
+        Args:
+            waiting: Number of waiting calls.
+            full_at: When a target was full, in monotonic seconds.
+        """
+        if full_at <= self.full_at:
+            return
+        self.full_at = self.raised_at = full_at
+        if self.waiting is None:
+            self.waiting = float(waiting)
+        else:
+            self.waiting += ADJUSTMENT * (waiting - self.waiting)
+
+    def current(self, now: float) -> float | None:
+        """Returns the limit; None if it isn't known.
+
+        Args:
+            now: Monotonic time, in seconds.
+        """
+        if self.waiting is None:
+            return None
+        if now - self.full_at > FORGET_SECONDS:
+            self.waiting = None
+            return None
+        if now - self.raised_at >= RAISE_SECONDS:
+            self.raised_at = now
+            self.waiting += 1.0
+        return self.waiting
--- /dev/null
+++ b/src/jujubeyard/scheduling/thinning.py
@@ -0,0 +1,131 @@
+"""Admits a share of a node's calls, the urgent ones first.
+
+A share for all calls is divided between the priorities by their part of the
+node's calls: the least urgent are thinned first, but none of them is starved.
+Admission is paced by credit: each new call earns its share of one, and a call
+is admitted for a whole one. A call that waits for room earns nothing more, and
+may use what later calls leave.
+"""
+
+import dataclasses
+import random
+
+MIN_RELATIVE_SHARE = 0.3
+"""Ratio of any priority's share to that of all calls, at least."""
+
+MAX_CREDIT = 2.0
+"""Calls that a node may save up for one priority."""
+
+MIX_DECAY = 0.995
+"""Factor that each new call applies to the weight of earlier ones."""
+
+INTERVAL_SMOOTHING = 0.1
+MAX_URGENCIES = 16
+"""Largest number of priorities that are told apart; the others count as the
+least urgent of them."""
+
+
+class UrgencyMix:
+    """The parts that the priorities have in the calls of a service."""
+
+    def __init__(self):
+        self._weights: dict[int, float] = {}
+        self._total = 0.0
+
+    def observe(self, urgency: int) -> None:
+        """Adds a call; the smaller its urgency, the sooner it is served."""
+        for known in self._weights:
+            self._weights[known] *= MIX_DECAY
+        rank = min(urgency, MAX_URGENCIES)
+        self._weights[rank] = self._weights.get(rank, 0.0) + 1.0
+        self._total = self._total * MIX_DECAY + 1.0
+
+    def share(self, urgency: int, overall: float) -> float:
+        """Returns the share of a priority's calls to admit.
+
+        Each priority keeps its minimum; the remainder goes to the most urgent
+        first.
+
+        Args:
+            urgency: The priority; 0 is the most urgent.
+            overall: Share of all calls to admit.
+        """
+        rank = min(urgency, MAX_URGENCIES)
+        own = self._weights.get(rank, 0.0)
+        if overall >= 1.0 or not own:
+            return overall
+        minimum = MIN_RELATIVE_SHARE * overall
+        more_urgent = sum(
+            weight for known, weight in self._weights.items() if known < rank
+        )
+        spare = (overall - minimum) * self._total
+        left = spare - (1.0 - minimum) * more_urgent
+        return min(max(minimum + left / own, minimum), 1.0)
+
+
+@dataclasses.dataclass(slots=True)
+class Credit:
+    """The calls of one priority that a node may admit.
+
+    Attributes:
+        calls: Number of calls that may be admitted.
+        called_at: When the latest call came, in monotonic seconds.
+        interval_seconds: Smoothed time between two calls.
+    """
+
+    calls: float
+    called_at: float
+    interval_seconds: float = 1.0
+
+    def earn(self, share: float, now: float) -> None:
+        """Adds the share of one call that has come.
+
+        Args:
+            share: Share of the calls to admit.
+            now: Monotonic time, in seconds.
+        """
+        elapsed = now - self.called_at
+        self.interval_seconds += INTERVAL_SMOOTHING * (
+            elapsed - self.interval_seconds
+        )
+        self.called_at = now
+        self.calls = min(self.calls + share, MAX_CREDIT)
+
+    def spend(self) -> bool:
+        """Takes a call from the credit; returns whether there was one."""
+        if self.calls < 1.0:
+            return False
+        self.calls -= 1.0
+        return True
+
+    def seconds_until_call(self, share: float) -> float:
+        """Returns when the credit will suffice for a call, in seconds."""
+        missing = max(0.0, 1.0 - self.calls)
+        return missing / share * self.interval_seconds
+
+
+class Credits:
+    """The credit of each priority at a target or a service."""
+
+    def __init__(self, rng: random.Random):
+        """Creates credit for each priority as its first call comes.
+
+        Args:
+            rng: Source of the initial credit. Without one, no node would admit
+                the first call of a priority.
+        """
+        self._rng = rng
+        self._by_urgency: dict[int, Credit] = {}
+
+    def of(self, urgency: int, now: float) -> Credit:
+        """Returns the credit of a priority.
+
+        Args:
+            urgency: The priority.
+            now: Monotonic time, in seconds.
+        """
+        rank = min(urgency, MAX_URGENCIES)
+        credit = self._by_urgency.get(rank)
+        if credit is None:
+            credit = self._by_urgency[rank] = Credit(self._rng.random(), now)
+        return credit
--- /dev/null
+++ b/tests/scheduling/test_capacity.py
@@ -0,0 +1,115 @@
+"""What a node learns from refusals, resets and reports of a target."""
+
+import random
+
+import pytest
+
+from jujubeyard.scheduling import capacity
+from jujubeyard.scheduling import pacing
+from jujubeyard.scheduling import queue_limits
+from jujubeyard.scheduling import refusals
+
+SLOTS = 4
+
+
+def _room(target_id="t1", limit=None):
+    return capacity.Capacity(target_id, limit or queue_limits.QueueLimit())
+
+
+@pytest.mark.parametrize(
+    ("running", "waiting", "cause", "limit"),
+    [
+        pytest.param(2, 0, capacity.RefusalCause.SHEDDING, None, id="idle"),
+        pytest.param(4, 1, capacity.RefusalCause.SHEDDING, None, id="busy"),
+        pytest.param(4, 16, capacity.RefusalCause.FULL, 16.0, id="full"),
+    ],
+)
+def test_a_refusal_shows_a_limit_only_if_the_queue_is_long(
+    running, waiting, cause, limit
+):
+    room = _room()
+    assert room.observe_refusal(running, waiting, SLOTS, 10.0) is cause
+    assert room.limit.current(10.0) == limit
+    assert room.refusal.is_refusing(10.0) == (limit is None)
+
+
+def test_a_target_isn_t_full_while_others_hold_longer_queues():
+    limit = queue_limits.QueueLimit()
+    for name in ("t2", "t3"):
+        _room(name, limit).observe_queue(12, SLOTS, 9.0)
+    cause = _room("t1", limit).observe_refusal(4, 8, SLOTS, 10.0)
+    assert cause is capacity.RefusalCause.SHEDDING
+
+
+@pytest.mark.parametrize(
+    ("answered_at", "limit"),
+    [
+        pytest.param(10.5, 14.0, id="alive"),
+        pytest.param(None, None, id="dead"),
+        pytest.param(20.0, None, id="back much later"),
+    ],
+)
+def test_a_reset_shows_a_limit_only_if_the_target_is_alive(answered_at, limit):
+    room = _room()
+    room.observe_queue(14, SLOTS, 9.9)
+    room.observe_reset(10.0)
+    if answered_at is not None:
+        room.observe_queue(5, SLOTS, answered_at)
+    assert room.limit.current(20.0) == limit
+
+
+def test_a_reset_of_an_idle_target_shows_no_limit():
+    room = _room()
+    room.observe_queue(0, SLOTS, 9.9)
+    room.observe_reset(10.0)
+    room.observe_queue(1, SLOTS, 10.1)
+    assert room.limit.current(10.1) is None
+
+
+def test_a_limit_rises_slowly_and_is_forgotten():
+    limit = queue_limits.QueueLimit()
+    limit.observe_full(16, 100.0)
+    assert limit.current(100.0 + 0.9 * queue_limits.RAISE_SECONDS) == 16.0
+    assert limit.current(100.0 + queue_limits.RAISE_SECONDS) == 17.0
+    assert limit.current(101.0 + queue_limits.FORGET_SECONDS) is None
+
+
+def test_a_refusing_target_gets_calls_again_after_seconds():
+    level = refusals.RefusalLevel()
+    for step in range(5):
+        level.observe_refusal(10.0 + 0.1 * step)
+    assert level.is_refusing(11.0)
+    assert not level.is_refusing(18.0)
+
+
+def test_a_shared_level_is_applied_with_its_age():
+    level = refusals.RefusalLevel()
+    level.merge(0.8, 10.0, 10.0 + refusals.HALF_LIFE_SECONDS)
+    assert level.current(10.0 + refusals.HALF_LIFE_SECONDS) == pytest.approx(
+        0.4
+    )
+
+
+@pytest.mark.parametrize(
+    ("levels", "kept"),
+    [
+        pytest.param([0.0, 0.0, 0.8], {0, 1}, id="others carry the calls"),
+        pytest.param([0.0, 1.0, 1.0], {0}, id="the refusing get few"),
+        pytest.param([1.0, 1.0, 1.0], {0, 1, 2}, id="all refuse"),
+        pytest.param([], set(), id="no target"),
+    ],
+)
+def test_targets_that_accept_calls_are_preferred(levels, kept):
+    rng = random.Random(1)
+    candidates = list(range(len(levels)))
+    preferred = refusals.prefer_accepting(candidates, levels, rng)
+    assert set(preferred) == kept
+
+
+def test_a_share_recovers_when_reports_stop():
+    controller = pacing.ShareController()
+    controller.set_level(pacing.QueueLevel(6.0, 0.1))
+    for step in range(1, 20):
+        controller.observe_queue(16, 0.4 * step)
+    assert controller.share(8.0) < 0.2
+    assert controller.share(20.0) > 0.9
