Admit calls by the room that targets have shown

Callers saw 502 that nobody may repeat at the owner of a hot key, because it reset connections once its queue was full; and calls went on to targets that refuse whatever their load.

Reports, refusals and resets now feed what is known of each target. Keyed calls are thinned for their owner, others for all targets of their service together, once a queue limit was learned; without one nothing changes. A refused call gets the time at which there will be room. Targets that refuse with slots free are left out while at least half of the others accept calls, and otherwise in proportion. Refusals and limits travel in a datagram of their own, "pressure", which earlier versions ignore.

Logged: "call lacks room" with share, limit, waiting calls and age of the report, and the cause of a refusal. Metrics: jujubeyard_lacking_room, jujubeyard_queue_limit, jujubeyard_refusing_targets.

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -314,9 +314,21 @@
         """Periodically drops removed targets and expired moved-shard marks."""
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_SECONDS)
-            self._view.registry.purge_removed(time.monotonic())
+            now = time.monotonic()
+            self._view.registry.purge_removed(now)
+            self._record_room(now)
             self._forwarder.owner_lookup.remove_expired_marks()
 
+    def _record_room(self, now: float) -> None:
+        """Updates the metrics of the room at targets."""
+        targets = self._view.registry
+        for service, limit in targets.queue_limits.items():
+            refusing = sum(
+                target.load.room.refusal.is_refusing(now)
+                for target in targets.service_targets(service)
+            )
+            self._metrics.set_room(service, limit.current(now), refusing)
+
     def _start_task(
         self,
         run: collections.abc.Callable[
--- a/src/jujubeyard/node/datagrams.py
+++ b/src/jujubeyard/node/datagrams.py
@@ -25,6 +25,7 @@
 
 BEACON = "beacon"
 LOADS = "loads"
+PRESSURE = "pressure"
 PERCENT = 100.0
 MILLISECONDS = 1000.0
 MAX_COUNT = 1_000_000_000
@@ -55,7 +56,52 @@
     reports: tuple[loads.AgedReport, ...]
 
 
-Datagram = demand.Report | table.Update | Beacon | TargetLoads
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusingTarget:
+    """The share of calls that a target refuses though it has room.
+
+    Attributes:
+        target_id: The target.
+        level: The share.
+        age_seconds: Time since it was observed.
+    """
+
+    target_id: str
+    level: float
+    age_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceQueueLimit:
+    """The number of calls that can wait at each target of a service.
+
+    Attributes:
+        service: Name of the service.
+        waiting: Number of calls.
+        age_seconds: Time since a target was full.
+    """
+
+    service: str
+    waiting: float
+    age_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pressure:
+    """What nodes learned of the room at targets.
+
+    Nodes of versions that don't know it ignore it.
+
+    Attributes:
+        refusing: Targets that refuse calls.
+        limits: Queue limits of services.
+    """
+
+    refusing: tuple[RefusingTarget, ...]
+    limits: tuple[ServiceQueueLimit, ...]
+
+
+Datagram = demand.Report | table.Update | Beacon | TargetLoads | Pressure
 
 
 @functools.singledispatch
@@ -110,6 +156,23 @@
     return cbor2.dumps([LOADS, rows])
 
 
+@encode.register
+def _(message: Pressure) -> bytes:
+    refusing = [
+        [
+            row.target_id,
+            round(row.level * PERCENT),
+            round(row.age_seconds * MILLISECONDS),
+        ]
+        for row in message.refusing
+    ]
+    limits = [
+        [row.service, row.waiting, round(row.age_seconds * MILLISECONDS)]
+        for row in message.limits
+    ]
+    return cbor2.dumps([PRESSURE, refusing, limits])
+
+
 def decode(data: bytes) -> Datagram:
     """Returns the message that a datagram contains.
 
@@ -199,9 +262,33 @@
     return loads.AgedReport(fields.check_name(target_id), report, age_seconds)
 
 
+def _decode_pressure(refusing, limits) -> Pressure:
+    return Pressure(
+        tuple(_decode_refusing_target(*row) for row in refusing),
+        tuple(_decode_queue_limit(*row) for row in limits),
+    )
+
+
+def _decode_refusing_target(target_id, level, age) -> RefusingTarget:
+    return RefusingTarget(
+        fields.check_name(target_id),
+        fields.check_number(level, PERCENT) / PERCENT,
+        fields.check_number(age, MAX_COUNT) / MILLISECONDS,
+    )
+
+
+def _decode_queue_limit(service, waiting, age) -> ServiceQueueLimit:
+    return ServiceQueueLimit(
+        fields.check_name(service),
+        fields.check_number(waiting, MAX_COUNT),
+        fields.check_number(age, MAX_COUNT) / MILLISECONDS,
+    )
+
+
 DECODERS = {
     REPORT: _decode_report,
     UPDATE: _decode_update,
     BEACON: _decode_beacon,
     LOADS: _decode_loads,
+    PRESSURE: _decode_pressure,
 }
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -39,6 +39,7 @@
 """Headers that apply to a single connection and aren't forwarded."""
 
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 NOT_CONFIGURED_RETRY_SECONDS = 0.5
 REFUSED_AVOID_SECONDS = 0.15
 BROKEN_AVOID_SECONDS = 0.5
@@ -90,7 +91,7 @@
         )
         self.owner_lookup = owners.OwnerLookup(view, cfg.limits)
         self._selector = selection.TargetSelector(
-            cfg, view, self.owner_lookup, log
+            cfg, view, self.owner_lookup, metric_set, log
         )
         self._router_headers = {
             header_names.deadline.lower(),
@@ -262,6 +263,8 @@
             state.retry_after = owners.MOVED_RETRY_SECONDS
             return None
         target.load.avoid_until = now + BROKEN_AVOID_SECONDS
+        if outcome is upstream.SendOutcome.BROKEN:
+            target.load.room.observe_reset(now)
         state.may_have_run = True
         return None
 
@@ -283,17 +286,17 @@
         self._observe_notice(target, answer, now)
         header_names = self._header_names
         load_header = answer.headers.get(header_names.load)
-        if load_header:
-            load_report = self._read_load(load_header)
-            if load_report is not None:
-                target.load.observe_report(load_report, now)
+        load_report = self._read_load(load_header) if load_header else None
+        if load_report is not None:
+            target.load.observe_report(load_report, now)
         kind = answers.classify_answer(answer, state.call.call_id, header_names)
         if kind is answers.AnswerKind.REFUSED:
-            self._process_not_run(state, target, answer)
+            self._process_not_run(state, target, answer, load_report)
             return None
         if kind is answers.AnswerKind.SERVED:
             self._record_success(state, target, now - started_at)
             target.load.observe_size(len(answer.body))
+            target.load.room.refusal.observe_acceptance(now)
             return self._make_reply(answer)
         state.may_have_run = True
         target.load.observe_failure()
@@ -344,14 +347,29 @@
             and not state.service.keyed
         )
 
-    def _process_not_run(self, state, target, answer) -> None:
+    def _process_not_run(
+        self, state, target, answer, load_report: loads.LoadReport | None
+    ) -> None:
         """Records that a target refused the call without running it.
 
         In a keyed service, a misdirected call counts as an attempt but doesn't
         exclude the target from further ones.
         """
         now = time.monotonic()
-        self._log_failed_attempt(state, target, "not run", str(answer.status))
+        detail = str(answer.status)
+        if (
+            answer.status == UNAVAILABLE_STATUS
+            and load_report is not None
+            and state.remaining_seconds() > attempts.MIN_REMAINING_SECONDS
+        ):
+            cause = target.load.room.observe_refusal(
+                load_report.running,
+                load_report.waiting,
+                load_report.slots,
+                now,
+            )
+            detail += f", {cause.value}"
+        self._log_failed_attempt(state, target, "not run", detail)
         state.latest_code = codes.ResultCode.TARGET_REFUSED
         expected_seconds = target.load.expected_seconds(
             target.listing.slots, now
--- a/src/jujubeyard/node/metrics.py
+++ b/src/jujubeyard/node/metrics.py
@@ -55,6 +55,30 @@
                 registry=self.registry,
             )
         )
+        self._lacking_room = labelled_metrics.LabelledMetric(
+            prometheus_client.Counter(
+                "jujubeyard_lacking_room",
+                "Calls that found no room at targets, by service and priority.",
+                ["service", "urgency"],
+                registry=self.registry,
+            )
+        )
+        self._queue_limit = labelled_metrics.LabelledMetric(
+            prometheus_client.Gauge(
+                "jujubeyard_queue_limit",
+                "Calls that can wait at a target; not a number if unknown.",
+                ["service"],
+                registry=self.registry,
+            )
+        )
+        self._refusing_targets = labelled_metrics.LabelledMetric(
+            prometheus_client.Gauge(
+                "jujubeyard_refusing_targets",
+                "Targets that refuse calls although they have room.",
+                ["service"],
+                registry=self.registry,
+            )
+        )
 
     def count_call(
         self, service: str, code: codes.ResultCode, seconds: float
@@ -78,6 +102,29 @@
         """
         self._attempts.child(service, outcome).inc()
 
+    def count_lacking_room(self, service: str, urgency: int) -> None:
+        """Counts a call that found no room at targets when it came.
+
+        Args:
+            service: Name of the service.
+            urgency: Priority of the call's route; 0 is the most urgent.
+        """
+        self._lacking_room.child(service, str(urgency)).inc()
+
+    def set_room(
+        self, service: str, limit: float | None, refusing: int
+    ) -> None:
+        """Records what is known of the room at a service's targets.
+
+        Args:
+            service: Name of the service.
+            limit: How many calls can wait at a target; None if it isn't known.
+            refusing: Number of targets that refuse calls.
+        """
+        known_limit = float("nan") if limit is None else limit
+        self._queue_limit.child(service).set(known_limit)
+        self._refusing_targets.child(service).set(refusing)
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/jujubeyard/node/reporting.py
+++ b/src/jujubeyard/node/reporting.py
@@ -188,3 +188,7 @@
     @_handle.register
     def _(self, message: datagrams.TargetLoads) -> None:
         self._exchange.apply(message, time.monotonic())
+
+    @_handle.register
+    def _(self, message: datagrams.Pressure) -> None:
+        self._exchange.apply_pressure(message, time.monotonic())
--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -1,12 +1,14 @@
 """Selects the target for a call, or decides that none admits it."""
 
 import random
+import statistics
 import time
 
 from jujubeyard import codes
 from jujubeyard.node import attempts
 from jujubeyard.node import cluster_view
 from jujubeyard.node import journal
+from jujubeyard.node import metrics
 from jujubeyard.node import owners
 from jujubeyard.node import settings
 from jujubeyard.routing import admission
@@ -14,6 +16,8 @@
 from jujubeyard.routing import bounds
 from jujubeyard.routing import coldstart
 from jujubeyard.routing import config
+from jujubeyard.scheduling import refusals
+from jujubeyard.scheduling import room
 from jujubeyard.targets import loads
 from jujubeyard.targets import registry
 
@@ -32,6 +36,7 @@
         cfg: settings.NodeSettings,
         view: cluster_view.ClusterView,
         owner_lookup: owners.OwnerLookup,
+        metric_set: metrics.Metrics,
         log: journal.Journal,
     ):
         """Initializes the selector.
@@ -40,11 +45,13 @@
             cfg: Settings of the node.
             view: Routes, targets, shard tables and other nodes.
             owner_lookup: Finds the owners of keys.
+            metric_set: Counts calls that find no room.
             log: Log of refused calls.
         """
         self._cfg = cfg
         self._view = view
         self._owner_lookup = owner_lookup
+        self._metrics = metric_set
         self._log = log
         rate_limit = coldstart.ColdRateLimit(
             cfg.limits.cold_factor, cfg.limits.cold_slack
@@ -54,6 +61,7 @@
         )
         self._rng = random.Random()
         self._call_bounds = bounds.CallBounds()
+        self._room_keeper = room.RoomKeeper(self._rng)
         self.route_work = loads.RouteWork()
 
     def record_call(self, target: registry.Target, now: float) -> None:
@@ -77,20 +85,32 @@
             state: The call; if no target admits it, its latest code and the
                 time until a retry say why.
         """
+        paced = self._make_paced_call(state)
         state.lacks_room = False
         if state.is_keyed:
             target = await self._owner_lookup.find_owner(state)
         else:
-            target = self._choose_pooled_target(state)
+            target = self._choose_pooled_target(state, paced)
         if target is None:
             return None
         now = time.monotonic()
-        if not self._admit(state, target, now):
+        if not self._admit(state, target, paced, now):
             return None
         return target
 
+    def _make_paced_call(self, state: attempts.CallState) -> room.PacedCall:
+        """Returns what the admission of a call depends on."""
+        service, route = state.service, state.route
+        bound = self._call_bounds.observe(service.name, route.objective)
+        paced = room.PacedCall(
+            service.name, route.urgency, not state.lacks_room, bound
+        )
+        if paced.is_new and not state.tried_targets:
+            self._room_keeper.observe_call(paced)
+        return paced
+
     def _choose_pooled_target(
-        self, state: attempts.CallState
+        self, state: attempts.CallState, paced: room.PacedCall
     ) -> registry.Target | None:
         """Returns the best target for a call that any target may serve."""
         now = time.monotonic()
@@ -107,6 +127,13 @@
             and admission.has_spare_connection(target, limit, nodes)
             and self._may_send_if_cold(state.service, target, now)
         ]
+        candidates = refusals.prefer_accepting(
+            candidates,
+            [target.load.room.refusal.current(now) for target in candidates],
+            self._rng,
+        )
+        if candidates and not self._has_room(state, candidates, paced, now):
+            return None
         target = balancing.choose_target(
             candidates, self._cfg.zone, nodes, now, self._rng
         )
@@ -118,6 +145,57 @@
             )
         return target
 
+    def _has_room(
+        self,
+        state: attempts.CallState,
+        targets: list[registry.Target],
+        paced: room.PacedCall,
+        now: float,
+    ) -> bool:
+        """Returns whether the targets together have room for a call.
+
+        If not, the result code and the retry time are set in the state.
+        """
+        slots = statistics.fmean(target.listing.slots for target in targets)
+        work_seconds = targets[0].load.service_work.mean()
+        decision = self._room_keeper.admit_to_any(
+            paced,
+            [target.load.room for target in targets],
+            work_seconds / max(slots, 1.0),
+            now,
+        )
+        return self._apply_decision(state, paced, decision, "", 0.0)
+
+    def _apply_decision(
+        self,
+        state: attempts.CallState,
+        paced: room.PacedCall,
+        decision: room.Decision,
+        target_id: str,
+        report_age: float,
+    ) -> bool:
+        """Returns whether a call is admitted; if not, records why."""
+        if decision.is_admitted:
+            return True
+        state.latest_code = codes.ResultCode.OVERLOADED
+        state.lacks_room = True
+        state.retry_after = decision.retry_seconds
+        if paced.is_new:
+            self._metrics.count_lacking_room(paced.service, paced.urgency)
+            self._log.log_call(
+                "call lacks room",
+                call=state.call.call_id,
+                service=paced.service,
+                target=target_id,
+                urgency=paced.urgency,
+                share=round(decision.share, 3),
+                waiting=round(decision.waiting, 1),
+                limit=round(decision.limit, 1),
+                report_age=round(report_age, 3),
+                retry_after=round(decision.retry_seconds, 3),
+            )
+        return False
+
     def _shortest_pause(self, service: str, now: float) -> float:
         """Returns when the first target of a service ends its pause.
 
@@ -143,7 +221,11 @@
         )
 
     def _admit(
-        self, state: attempts.CallState, target: registry.Target, now: float
+        self,
+        state: attempts.CallState,
+        target: registry.Target,
+        paced: room.PacedCall,
+        now: float,
     ) -> bool:
         """Returns whether the target can serve the call in time.
 
@@ -169,7 +251,7 @@
             target.listing.slots, now, relative_work
         )
         objective = state.route.objective
-        bound = self._call_bounds.observe(service.name, objective)
+        bound = paced.bound_seconds
         nodes = self._view.node_count()
         is_full = not admission.has_spare_connection(
             target, service.max_connections, nodes
@@ -182,6 +264,9 @@
             state.retry_after = admission.retry_after(
                 expected_seconds, objective
             )
+            if not paced.is_new:
+                return False
+            self._metrics.count_lacking_room(service.name, paced.urgency)
             self._log.log_call(
                 "call refused, target overloaded",
                 call=state.call.call_id,
@@ -196,4 +281,29 @@
                 report_age=round(now - target.load.reported_at, 3),
             )
             return False
-        return True
+        return not state.is_keyed or self._owner_has_room(
+            state, target, paced, now
+        )
+
+    def _owner_has_room(
+        self,
+        state: attempts.CallState,
+        target: registry.Target,
+        paced: room.PacedCall,
+        now: float,
+    ) -> bool:
+        """Returns whether the owner of a call's key has room for it."""
+        load = target.load
+        decision = self._room_keeper.admit_to_owner(
+            paced,
+            load.room,
+            load.work_seconds() / max(target.listing.slots, 1),
+            now,
+        )
+        return self._apply_decision(
+            state,
+            paced,
+            decision,
+            target.listing.target_id,
+            now - load.reported_at,
+        )
--- a/src/jujubeyard/targets/loads.py
+++ b/src/jujubeyard/targets/loads.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 
+from jujubeyard.scheduling import capacity
+
 REPORT_HALF_LIFE_SECONDS = 0.4
 """Age at which a load report has half its weight."""
 
@@ -147,6 +149,7 @@
         answer_bytes: Smoothed size of the target's answers.
         avoid_until: Time before which the target is only chosen if there is
             no other.
+        room: What was learned of the room at the target.
     """
 
     in_flight: int = 0
@@ -165,6 +168,9 @@
     unreachable_until: float = 0.0
     paused_until: float = 0.0
     answer_bytes: float = 0.0
+    room: capacity.Capacity = dataclasses.field(
+        default_factory=capacity.Capacity
+    )
 
     def observe_report(self, report: LoadReport, now: float) -> None:
         """Applies a report that this node received with an answer."""
@@ -183,6 +189,7 @@
         self.report = report
         self.reported_at = received_at
         self.in_flight_at_report = self.in_flight
+        self.room.observe_queue(report.waiting, report.slots, received_at)
 
     def observe_success(self, seconds: float, queue_ratio: float) -> float:
         """Records a call that succeeded.
--- a/src/jujubeyard/targets/registry.py
+++ b/src/jujubeyard/targets/registry.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from jujubeyard.scheduling import capacity
+from jujubeyard.scheduling import queue_limits
 from jujubeyard.targets import loads
 from jujubeyard.targets import notices
 
@@ -113,12 +115,14 @@
         evacuated_since: For each evacuated zone, when its evacuation may have
             begun, in monotonic seconds.
         version: Number that increases with each change.
+        queue_limits: For each service, how many calls can wait at a target.
     """
 
     def __init__(self):
         self.targets: dict[str, Target] = {}
         self.evacuated_since: dict[str, float] = {}
         self.version = 0
+        self.queue_limits: dict[str, queue_limits.QueueLimit] = {}
         self._service_means: dict[str, loads.DecayingMean] = {}
         self._by_service: dict[str, list[Target]] = {}
         self._indexed_version = -1
@@ -155,7 +159,10 @@
         )
         if target is None or is_new_incarnation:
             load = loads.TargetLoad(
-                service_work=self._service_mean(listing.service)
+                service_work=self._service_mean(listing.service),
+                room=capacity.Capacity(
+                    listing.target_id, self.queue_limit(listing.service)
+                ),
             )
             target = Target(listing, now, load=load)
             self.targets[listing.target_id] = target
@@ -174,6 +181,10 @@
             mean = self._service_means[service] = loads.make_service_mean()
         return mean
 
+    def queue_limit(self, service: str) -> queue_limits.QueueLimit:
+        """Returns what is known of the queues of a service's targets."""
+        return self.queue_limits.setdefault(service, queue_limits.QueueLimit())
+
     def remove(
         self, target_id: str, now: float, changed_at: float | None = None
     ) -> None:
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -537,3 +537,51 @@
             target.load.failure_rate = 0.0
     paused = harness.client.sent[0].address
     assert [call.address for call in harness.client.sent].count(paused) == 1
+
+
+SHED = make_answer(503, X_Not_Run="1", X_Load="1,0,6", signed=False)
+FULL = make_answer(503, X_Not_Run="1", X_Load="6,12,6", signed=False)
+
+
+async def test_a_target_that_sheds_is_avoided_while_others_accept(harness):
+    for name in ("t1", "t2", "t3"):
+        harness.add_target(name)
+    harness.client.script = [SHED, *[make_answer() for _ in range(20)]]
+    for _ in range(20):
+        reply = await harness.serve("read")
+        assert reply.status == 200
+    first = harness.client.sent[0].address
+    assert first not in [call.address for call in harness.client.sent[1:]]
+
+
+async def test_an_overfull_owner_gets_a_share_of_the_calls(harness):
+    target = harness.add_target("t1", service="desk")
+    harness.set_owner("t1")
+    room = target.load.room
+    now = asyncio.get_running_loop().time()
+    room.limit.observe_full(12, now)
+    harness.client.script = [make_answer() for _ in range(40)]
+    replies = [await harness.serve("lookup", key=7)]
+    room.controller.exponent = 1.5
+    room.controller.reported_at = now
+    replies += [await harness.serve("lookup", key=7) for _ in range(39)]
+    refused = [reply for reply in replies if reply.status != 200]
+    assert 24 <= len(refused) <= 36
+    assert {reply.code for reply in refused} == {codes.ResultCode.OVERLOADED}
+    assert all(0.1 <= reply.retry_after <= 1.0 for reply in refused)
+    assert harness.log.count("call lacks room") == len(refused)
+
+
+@pytest.mark.parametrize(
+    ("answer", "limit", "is_refusing"),
+    [(FULL, 12.0, False), (SHED, None, True), (NOT_RUN, None, False)],
+)
+async def test_a_refusal_tells_of_the_room_by_its_load(
+    harness, answer, limit, is_refusing
+):
+    target = harness.add_target("t1")
+    harness.client.script = [answer]
+    await harness.serve("read")
+    now = asyncio.get_running_loop().time()
+    assert harness.view.registry.queue_limit("pool").current(now) == limit
+    assert target.load.room.refusal.is_refusing(now) == is_refusing
--- a/tests/node/test_load_exchange.py
+++ b/tests/node/test_load_exchange.py
@@ -1,7 +1,9 @@
 """Load reports of targets that nodes exchange."""
 
+import cbor2
 import pytest
 
+from jujubeyard import errors
 from jujubeyard.node import datagrams
 from jujubeyard.node import load_exchange
 from jujubeyard.targets import loads
@@ -83,3 +85,62 @@
     sizes = [len(datagrams.encode(message)) for message in messages]
     assert max(sizes) <= datagrams.MAX_BYTES
     assert sum(len(message.reports) for message in messages) == 140
+
+
+def _share_pressure(source, destination, is_leader=False, now=100.1):
+    exchange = load_exchange.LoadExchange(destination)
+    for message in _send(source, is_leader, now):
+        if isinstance(message, datagrams.Pressure):
+            exchange.apply_pressure(message, now)
+    return destination
+
+
+def test_refusals_and_queue_limits_reach_other_nodes():
+    source, leader, other = (_make_registry("t1") for _ in range(3))
+    source.targets["t1"].load.room.refusal.observe_refusal(100.0)
+    source.queue_limit("pool").observe_full(16, 100.0)
+    _share_pressure(source, leader)
+    _share_pressure(leader, other, is_leader=True)
+    assert other.targets["t1"].load.room.refusal.is_refusing(100.1)
+    assert other.queue_limit("pool").current(100.1) == 16.0
+    assert not _send(leader, False, 100.1)
+
+
+def test_a_node_of_an_earlier_version_still_reads_the_loads():
+    source = _make_registry("t1")
+    source.targets["t1"].load.observe_report(_report(9), 100.0)
+    source.targets["t1"].load.room.refusal.observe_refusal(100.0)
+    exchange = load_exchange.LoadExchange(source)
+    loads_sent, pressure = exchange.make_messages(False, 100.1)
+    kind, rows = cbor2.loads(datagrams.encode(loads_sent))
+    assert (kind, len(rows[0])) == ("loads", 6)
+    assert cbor2.loads(datagrams.encode(pressure))[0] == "pressure"
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [[["t1", 200, 0]], []],
+        [[["t1", 50]], []],
+        [[], [["pool", -1, 0]]],
+        [[], [["pool", "16", 0]]],
+        [[]],
+    ],
+)
+def test_malformed_pressure_is_rejected(parts):
+    with pytest.raises(errors.FormatError):
+        datagrams.decode(cbor2.dumps([datagrams.PRESSURE, *parts]))
+
+
+def test_many_refusing_targets_are_divided_into_datagrams():
+    names = [f"i-{number:010x}" for number in range(100)]
+    source = _make_registry(*names)
+    for name in names:
+        source.targets[name].load.room.refusal.observe_refusal(100.0)
+    exchange = load_exchange.LoadExchange(source)
+    sizes = [
+        len(datagrams.encode(message))
+        for message in exchange.make_messages(False, 100.1)
+    ]
+    assert len(sizes) == 3
+    assert max(sizes) <= datagrams.MAX_BYTES
