Forward loads, refusals and limits that reached the leader late

What another node had received before the leader's last message, and came after it, was never forwarded; a limit that an older report confirmed was never sent. Both are now told by a count of what is new instead of by its time.

Resets have other causes than a full queue. A limit is now learned from one only with two waiting calls for each slot, and rises at once to what two targets reported.

test_the_leader_forwards_what_was_received_before_its_last_message failed before (no message); tests/scheduling, tests/node, tests/targets pass.

--- a/src/jujubeyard/node/load_exchange.py
+++ b/src/jujubeyard/node/load_exchange.py
@@ -30,66 +30,82 @@
 
     def __init__(self, targets: registry.Registry):
         self._registry = targets
-        self._last_made_at = 0.0
+        self._sent_reports: dict[str, int] = {}
+        self._sent_refusals: dict[str, int] = {}
+        self._sent_limits: dict[str, int] = {}
 
     def make_messages(
         self, is_leader: bool, now: float
     ) -> collections.abc.Iterator[datagrams.TargetLoads | datagrams.Pressure]:
-        """Yields messages with what was received since the last call.
+        """Yields messages with what is new since the last call.
 
         Args:
-            is_leader: Whether to include reports that other nodes received.
+            is_leader: Whether to include what other nodes sent.
             now: Monotonic time, in seconds.
         """
-        since, self._last_made_at = self._last_made_at, now
-        reports = []
+        reports = self._take_new_reports(is_leader, now)
+        for part in _divide(reports, REPORTS_PER_DATAGRAM):
+            yield datagrams.TargetLoads(part)
+        for part in _divide(
+            self._take_new_refusals(is_leader, now), REFUSING_PER_DATAGRAM
+        ):
+            yield datagrams.Pressure(part, ())
+        for part in _divide(
+            self._take_new_limits(is_leader, now), LIMITS_PER_DATAGRAM
+        ):
+            yield datagrams.Pressure((), part)
+
+    def _take_new_reports(
+        self, is_leader: bool, now: float
+    ) -> list[loads.AgedReport]:
+        """Returns the load reports that weren't sent yet.
+
+        They are told by their number: a report from another node was received
+        there some time before it came here.
+        """
+        sent, self._sent_reports = self._sent_reports, {}
+        new = []
         for target_id, target in self._registry.targets.items():
             load = target.load
-            received_at = load.reported_at if is_leader else load.own_report_at
-            if received_at > max(since, now - MAX_AGE_SECONDS):
-                report = loads.AgedReport(
-                    target_id, load.report, now - received_at
-                )
-                reports.append(report)
-        for start in range(0, len(reports), REPORTS_PER_DATAGRAM):
-            part = reports[start : start + REPORTS_PER_DATAGRAM]
-            yield datagrams.TargetLoads(tuple(part))
-        oldest = max(since, now - MAX_AGE_SECONDS)
-        yield from self._make_refusal_messages(is_leader, oldest, now)
-        yield from self._make_limit_messages(is_leader, oldest, now)
-
-    def _make_refusal_messages(
-        self, is_leader: bool, oldest: float, now: float
-    ) -> collections.abc.Iterator[datagrams.Pressure]:
-        """Yields messages with the targets found refusing since a time."""
-        refusing = []
+            count = load.reports if is_leader else load.own_reports
+            self._sent_reports[target_id] = count
+            age = now - load.reported_at
+            if count != sent.get(target_id, 0) and age <= MAX_AGE_SECONDS:
+                new.append(loads.AgedReport(target_id, load.report, age))
+        return new
+
+    def _take_new_refusals(
+        self, is_leader: bool, now: float
+    ) -> list[datagrams.RefusingTarget]:
+        """Returns the refusing targets that weren't sent yet."""
+        sent, self._sent_refusals = self._sent_refusals, {}
+        new = []
         for target_id, target in self._registry.targets.items():
             refusal = target.load.room.refusal
-            at = refusal.refused_at if is_leader else refusal.own_refused_at
-            if at > oldest:
-                refusing.append(
-                    datagrams.RefusingTarget(target_id, refusal.level, now - at)
+            count = refusal.refusals if is_leader else refusal.own_refusals
+            self._sent_refusals[target_id] = count
+            age = now - refusal.changed_at
+            if count != sent.get(target_id, 0) and age <= MAX_AGE_SECONDS:
+                new.append(
+                    datagrams.RefusingTarget(target_id, refusal.level, age)
                 )
-        for start in range(0, len(refusing), REFUSING_PER_DATAGRAM):
-            part = refusing[start : start + REFUSING_PER_DATAGRAM]
-            yield datagrams.Pressure(tuple(part), ())
-
-    def _make_limit_messages(
-        self, is_leader: bool, oldest: float, now: float
-    ) -> collections.abc.Iterator[datagrams.Pressure]:
-        """Yields messages with the limits observed since a time."""
-        limits = []
+        return new
+
+    def _take_new_limits(
+        self, is_leader: bool, now: float
+    ) -> list[datagrams.ServiceQueueLimit]:
+        """Returns the queue limits that weren't sent yet."""
+        sent, self._sent_limits = self._sent_limits, {}
+        new = []
         for service, limit in self._registry.queue_limits.items():
-            at = limit.full_at if is_leader else limit.own_full_at
-            if limit.waiting is not None and at > oldest:
-                limits.append(
-                    datagrams.ServiceQueueLimit(
-                        service, limit.waiting, now - at
-                    )
+            count = limit.observations if is_leader else limit.own_observations
+            self._sent_limits[service] = count
+            if count != sent.get(service, 0) and limit.waiting is not None:
+                age = now - limit.full_at
+                new.append(
+                    datagrams.ServiceQueueLimit(service, limit.waiting, age)
                 )
-        for start in range(0, len(limits), LIMITS_PER_DATAGRAM):
-            part = limits[start : start + LIMITS_PER_DATAGRAM]
-            yield datagrams.Pressure((), tuple(part))
+        return new
 
     def apply_pressure(self, message: datagrams.Pressure, now: float) -> None:
         """Applies what other nodes learned of the room at targets."""
@@ -110,3 +126,9 @@
             if target is not None:
                 received_at = now - aged.age_seconds
                 target.load.apply_report(aged.report, received_at)
+
+
+def _divide(rows: list, size: int) -> collections.abc.Iterator[tuple]:
+    """Yields the rows in parts of a size."""
+    for start in range(0, len(rows), size):
+        yield tuple(rows[start : start + size])
--- a/src/jujubeyard/scheduling/capacity.py
+++ b/src/jujubeyard/scheduling/capacity.py
@@ -13,6 +13,10 @@
 was full."""
 
 
+RESET_WAITING_PER_SLOT = 2
+"""Shortest queue, in calls for each slot, with which a reset shows that a
+target is full. Connections are reset for other reasons, too."""
+
 MAX_WAITING_PER_SLOT = 100
 """Longest plausible queue, in calls for each slot."""
 
@@ -96,7 +100,8 @@
         is_alive = at - self.reset_at <= CONFIRM_SECONDS
         self.reset_at = 0.0
         at_reset = max(waiting, self.waiting_at_reset)
-        if is_alive and self.limit.shows_full(at_reset, slots, at):
+        is_long = at_reset >= RESET_WAITING_PER_SLOT * slots
+        if is_alive and is_long and self.limit.shows_full(at_reset, slots, at):
             self.was_full = True
             self.limit.observe_full(at_reset, at)
 
--- a/src/jujubeyard/scheduling/queue_limits.py
+++ b/src/jujubeyard/scheduling/queue_limits.py
@@ -45,14 +45,16 @@
     Attributes:
         waiting: The limit; None while it isn't known.
         full_at: When a target was last full, in monotonic seconds.
-        own_full_at: When this node itself last found one full.
+        observations: Number of full targets, those of other nodes included.
+        own_observations: Number of those that this node itself found.
         raised_at: When the limit was last raised or learned.
         longest: The longest queues of two targets that were reported lately.
     """
 
     waiting: float | None = None
     full_at: float = 0.0
-    own_full_at: float = 0.0
+    observations: int = 0
+    own_observations: int = 0
     raised_at: float = 0.0
     longest: list[ReportedQueue] = dataclasses.field(default_factory=list)
 
@@ -65,14 +67,29 @@
             target_id: The target.
             waiting: Number of waiting calls.
             was_full: Whether the target itself has been full before. Only then
-                its report may raise the limit.
+                its report alone may raise the limit.
             now: Monotonic time, in seconds.
         """
         if not waiting:
             return
         self._remember(ReportedQueue(waiting, target_id, now))
-        if was_full and self.waiting is not None and waiting > self.waiting:
+        if self.waiting is None:
+            return
+        if was_full and waiting > self.waiting:
             self.waiting = min(float(waiting), MAX_GROWTH * self.waiting)
+        self.waiting = max(self.waiting, float(self._proven(now)))
+
+    def _proven(self, now: float) -> int:
+        """Returns the longest recent queue that two targets have reached.
+
+        Of the two longest the shorter one counts, as a target may report
+        nonsense.
+        """
+        if len(self.longest) < 2 or any(
+            now - queue.at > EVIDENCE_SECONDS for queue in self.longest
+        ):
+            return 0
+        return self.longest[1].waiting
 
     def _remember(self, queue: ReportedQueue) -> None:
         """Keeps the longest recent queues of two targets."""
@@ -93,21 +110,14 @@
     def shows_full(self, waiting: int, slots: int, now: float) -> bool:
         """Returns whether a target with such a queue may be full.
 
-        It isn't if longer queues were possible a short time ago. Of the two
-        longest the shorter one counts, as a target may report nonsense.
+        It isn't if longer queues were possible a short time ago.
 
         Args:
             waiting: Number of waiting calls.
             slots: Number of calls that the target runs at once.
             now: Monotonic time, in seconds.
         """
-        if waiting < slots:
-            return False
-        return all(
-            waiting >= queue.waiting
-            for queue in self.longest[1:]
-            if now - queue.at <= EVIDENCE_SECONDS
-        )
+        return waiting >= max(slots, self._proven(now))
 
     def observe_full(self, waiting: int, now: float) -> None:
         """Records that a target with such a queue took no further call.
@@ -116,7 +126,7 @@
             waiting: Number of waiting calls.
             now: Monotonic time, in seconds.
         """
-        self.own_full_at = now
+        self.own_observations += 1
         self.merge(waiting, now)
 
     def merge(self, waiting: float, full_at: float) -> None:
@@ -128,6 +138,7 @@
         """
         if full_at <= self.full_at:
             return
+        self.observations += 1
         self.full_at = self.raised_at = full_at
         if self.waiting is None:
             self.waiting = float(waiting)
--- a/src/jujubeyard/scheduling/refusals.py
+++ b/src/jujubeyard/scheduling/refusals.py
@@ -27,14 +27,14 @@
     Attributes:
         level: The share when it was last changed.
         changed_at: When that was, in monotonic seconds.
-        refused_at: When this node or another one was last refused.
-        own_refused_at: When this node itself was last refused.
+        refusals: Number of refusals that are known, other nodes' included.
+        own_refusals: Number of those that this node itself got.
     """
 
     level: float = 0.0
     changed_at: float = 0.0
-    refused_at: float = 0.0
-    own_refused_at: float = 0.0
+    refusals: int = 0
+    own_refusals: int = 0
 
     def current(self, now: float) -> float:
         """Returns the share of refused calls.
@@ -55,7 +55,8 @@
         """Records a call that the target refused although it had room."""
         level = self.current(now)
         self._change(level + SMOOTHING * (1.0 - level), now)
-        self.refused_at = self.own_refused_at = now
+        self.refusals += 1
+        self.own_refusals += 1
 
     def observe_acceptance(self, now: float) -> None:
         """Records a call that the target accepted."""
@@ -71,8 +72,8 @@
             now: Monotonic time, in seconds.
         """
         shared = RefusalLevel(level, observed_at).current(now)
-        self.refused_at = max(self.refused_at, observed_at)
         if shared > self.current(now):
+            self.refusals += 1
             self._change(shared, now)
 
     def _change(self, level: float, now: float) -> None:
--- a/src/jujubeyard/targets/loads.py
+++ b/src/jujubeyard/targets/loads.py
@@ -139,7 +139,8 @@
         in_flight: Calls of this node that the target hasn't answered yet.
         report: Latest load report that this node or another one received.
         reported_at: When `report` was received, in monotonic seconds.
-        own_report_at: When this node itself last received a report.
+        reports: Number of reports that were applied.
+        own_reports: Number of those that this node itself received.
         in_flight_at_report: Value of `in_flight` when `report` was applied.
         service_work: Processing times at all targets of the service.
         work: Processing times at this target.
@@ -155,7 +156,8 @@
     in_flight: int = 0
     report: LoadReport | None = None
     reported_at: float = 0.0
-    own_report_at: float = 0.0
+    reports: int = 0
+    own_reports: int = 0
     in_flight_at_report: int = 0
     service_work: DecayingMean = dataclasses.field(
         default_factory=make_service_mean
@@ -174,7 +176,7 @@
 
     def observe_report(self, report: LoadReport, now: float) -> None:
         """Applies a report that this node received with an answer."""
-        self.own_report_at = now
+        self.own_reports += 1
         self.apply_report(report, now)
 
     def apply_report(self, report: LoadReport, received_at: float) -> None:
@@ -186,6 +188,7 @@
         """
         if received_at <= self.reported_at:
             return
+        self.reports += 1
         self.report = report
         self.reported_at = received_at
         self.in_flight_at_report = self.in_flight
--- a/tests/node/test_load_exchange.py
+++ b/tests/node/test_load_exchange.py
@@ -144,3 +144,18 @@
     ]
     assert len(sizes) == 3
     assert max(sizes) <= datagrams.MAX_BYTES
+
+
+def test_the_leader_forwards_what_was_received_before_its_last_message():
+    leader, other = _make_registry("t1"), _make_registry("t1")
+    exchange = load_exchange.LoadExchange(leader)
+    assert not list(exchange.make_messages(True, 100.0))
+    aged = loads.AgedReport("t1", _report(9), 0.3)
+    exchange.apply(datagrams.TargetLoads((aged,)), 100.1)
+    limit = datagrams.ServiceQueueLimit("pool", 16.0, 0.3)
+    refusing = datagrams.RefusingTarget("t1", 0.6, 0.3)
+    exchange.apply_pressure(datagrams.Pressure((refusing,), (limit,)), 100.1)
+    sent = list(exchange.make_messages(True, 100.4))
+    load_exchange.LoadExchange(other).apply(sent[0], 100.4)
+    assert other.targets["t1"].load.reported_at == pytest.approx(99.8)
+    assert len(sent) == 3
