Send the loads of pressed targets at once

Once a service's queue limit is known, loads of its targets whose queue is at least a round long, or that are paced, are sent four times as often, if there are at most 120 nodes. The controller's response follows the lag of reports.

--- a/src/jujubeyard/node/load_exchange.py
+++ b/src/jujubeyard/node/load_exchange.py
@@ -35,15 +35,17 @@
         self._sent_limits: dict[str, int] = {}
 
     def make_messages(
-        self, is_leader: bool, now: float
+        self, is_leader: bool, now: float, only_pressed: bool = False
     ) -> collections.abc.Iterator[datagrams.TargetLoads | datagrams.Pressure]:
         """Yields messages with what is new since the last call.
 
         Args:
             is_leader: Whether to include what other nodes sent.
             now: Monotonic time, in seconds.
+            only_pressed: Whether to leave out reports of targets whose queues
+                needn't be known at once.
         """
-        reports = self._take_new_reports(is_leader, now)
+        reports = self._take_new_reports(is_leader, now, only_pressed)
         for part in _divide(reports, REPORTS_PER_DATAGRAM):
             yield datagrams.TargetLoads(part)
         for part in _divide(
@@ -55,8 +57,15 @@
         ):
             yield datagrams.Pressure((), part)
 
+    def knows_limits(self) -> bool:
+        """Returns whether calls are paced for the targets of any service."""
+        return any(
+            limit.waiting is not None
+            for limit in self._registry.queue_limits.values()
+        )
+
     def _take_new_reports(
-        self, is_leader: bool, now: float
+        self, is_leader: bool, now: float, only_pressed: bool
     ) -> list[loads.AgedReport]:
         """Returns the load reports that weren't sent yet.
 
@@ -67,6 +76,9 @@
         new = []
         for target_id, target in self._registry.targets.items():
             load = target.load
+            if only_pressed and not load.room.is_pressed(target.listing.slots):
+                self._sent_reports[target_id] = sent.get(target_id, 0)
+                continue
             count = load.reports if is_leader else load.own_reports
             self._sent_reports[target_id] = count
             age = now - load.reported_at
@@ -125,7 +137,7 @@
             target = self._registry.targets.get(aged.target_id)
             if target is not None:
                 received_at = now - aged.age_seconds
-                target.load.apply_report(aged.report, received_at)
+                target.load.apply_report(aged.report, received_at, now)
 
 
 def _divide(rows: list, size: int) -> collections.abc.Iterator[tuple]:
--- a/src/jujubeyard/node/reporting.py
+++ b/src/jujubeyard/node/reporting.py
@@ -14,6 +14,13 @@
 from jujubeyard.ownership import table
 
 REPORT_SECONDS = 0.4
+PRESSED_SENDS = 4
+"""Times that loads of pressed targets are sent in each such interval."""
+
+MAX_PEERS_FOR_PRESSED = 120
+"""Number of nodes above which the leader doesn't send loads of pressed targets
+more often than others, to bound its datagrams."""
+
 IDLE_SECONDS = 1.0
 """Time after the last datagram to the leader after which a node sends an empty
 one. The leader only sends updates to nodes that it received a datagram from
@@ -94,7 +101,10 @@
     async def run(self) -> None:
         """Sends reports, beacons and loads periodically until cancelled."""
         while True:
-            await asyncio.sleep(REPORT_SECONDS)
+            for _ in range(PRESSED_SENDS - 1):
+                await asyncio.sleep(REPORT_SECONDS / PRESSED_SENDS)
+                self._send_pressed_loads()
+            await asyncio.sleep(REPORT_SECONDS / PRESSED_SENDS)
             for meter in list(self._meters.values()):
                 self._send_report(meter)
             self._send_beacon()
@@ -111,13 +121,19 @@
         if beacon is not None:
             self._send_to_peers(datagrams.encode(beacon))
 
-    def _send_loads(self) -> None:
+    def _send_pressed_loads(self) -> None:
+        """Sends what other nodes need to know at once to pace their calls."""
+        is_bounded = len(self._peers) <= MAX_PEERS_FOR_PRESSED
+        if is_bounded and self._exchange.knows_limits():
+            self._send_loads(only_pressed=True)
+
+    def _send_loads(self, only_pressed: bool = False) -> None:
         now = time.monotonic()
         leader_address = self._get_leader_address()
         if leader_address is None:
             return
         for message in self._exchange.make_messages(
-            leader_address == self._own_address, now
+            leader_address == self._own_address, now, only_pressed
         ):
             if leader_address == self._own_address:
                 self._send_to_peers(datagrams.encode(message))
--- a/src/jujubeyard/scheduling/capacity.py
+++ b/src/jujubeyard/scheduling/capacity.py
@@ -69,13 +69,16 @@
     reset_at: float = 0.0
     waiting_at_reset: int = 0
 
-    def observe_queue(self, waiting: int, slots: int, at: float) -> None:
+    def observe_queue(
+        self, waiting: int, slots: int, at: float, now: float
+    ) -> None:
         """Records the queue that the target reported, if it is plausible.
 
         Args:
             waiting: Number of waiting calls.
             slots: Number of calls that it runs at once.
             at: When it was reported, in monotonic seconds.
+            now: When the report came to this node, in monotonic seconds.
         """
         if waiting > MAX_WAITING_PER_SLOT * slots:
             return
@@ -83,7 +86,17 @@
         self.waiting = waiting
         self.waiting_at = at
         self.limit.observe_queue(self.target_id, waiting, self.was_full, at)
-        self.controller.observe_queue(waiting, at)
+        self.controller.observe_queue(waiting, at, now)
+
+    def is_pressed(self, slots: int) -> bool:
+        """Returns whether all nodes should soon know of the target's queue.
+
+        Args:
+            slots: Number of calls that the target runs at once.
+        """
+        return self.limit.waiting is not None and (
+            self.waiting >= slots or self.controller.exponent > 0.0
+        )
 
     def recent_waiting(self, now: float) -> int:
         """Returns the reported number of waiting calls, 0 if it is old.
--- a/src/jujubeyard/scheduling/pacing.py
+++ b/src/jujubeyard/scheduling/pacing.py
@@ -11,12 +11,14 @@
 import dataclasses
 import math
 
-RESPONSE_SECONDS = 0.9
-"""Excess delay at which the proportional part divides the share by e. It is
-longer than reports usually are under way, so that the share doesn't swing."""
+MIN_RESPONSE_SECONDS = 0.4
+"""Shortest response time: the excess delay at which the proportional part
+divides the share by e."""
 
-AGE_FACTOR = 1.5
-"""Smallest ratio of the response time to the age of the reports."""
+MAX_RESPONSE_SECONDS = 8.0
+RESPONSE_PER_LAG = 2.2
+"""Ratio of the response time to the lag of reports. With a shorter response the
+share swings."""
 
 INTEGRAL_SECONDS = 1.5
 """Time after which the integral part of a constant excess is as large as its
@@ -69,7 +71,8 @@
         level: Queue to aim for; None while the queue isn't limited.
         integral: Accumulated excess.
         exponent: Negative logarithm of the share at the latest report.
-        lag_seconds: Smoothed time between reports.
+        lag_seconds: Smoothed lag of reports: their age when they come, or the
+            time between them if that is longer.
         reported_at: When the latest report was made, in monotonic seconds.
     """
 
@@ -85,12 +88,15 @@
         if level is None:
             self.integral = self.exponent = 0.0
 
-    def observe_queue(self, waiting: float, reported_at: float) -> None:
+    def observe_queue(
+        self, waiting: float, reported_at: float, now: float
+    ) -> None:
         """Adjusts the share to a reported queue.
 
         Args:
             waiting: Number of waiting calls.
             reported_at: When it was reported, in monotonic seconds.
+            now: When the report came here, in monotonic seconds.
         """
         elapsed = reported_at - self.reported_at
         if elapsed <= 0.0:
@@ -100,11 +106,14 @@
         self.reported_at = reported_at
         if is_first:
             return
-        lag = min(elapsed, MAX_LAG_SECONDS)
+        lag = min(max(elapsed, now - reported_at), MAX_LAG_SECONDS)
         self.lag_seconds += LAG_SMOOTHING * (lag - self.lag_seconds)
         if self.level is None:
             return
-        response = max(RESPONSE_SECONDS, AGE_FACTOR * self.lag_seconds)
+        response = min(
+            max(MIN_RESPONSE_SECONDS, RESPONSE_PER_LAG * self.lag_seconds),
+            MAX_RESPONSE_SECONDS,
+        )
         counted = min(waiting, MAX_RELATIVE_QUEUE * self.level.waiting)
         excess = (counted - self.level.waiting) * self.level.seconds_per_call
         proportional = excess / response
--- a/src/jujubeyard/scheduling/room.py
+++ b/src/jujubeyard/scheduling/room.py
@@ -134,7 +134,7 @@
                 room.recent_waiting(now) for room in rooms
             )
             pool.waiting_at = now
-            pool.controller.observe_queue(pool.waiting, now)
+            pool.controller.observe_queue(pool.waiting, now, now)
         return self._admit(call, pool, limit, pool.waiting, now)
 
     def _admit(
--- a/src/jujubeyard/targets/loads.py
+++ b/src/jujubeyard/targets/loads.py
@@ -177,14 +177,17 @@
     def observe_report(self, report: LoadReport, now: float) -> None:
         """Applies a report that this node received with an answer."""
         self.own_reports += 1
-        self.apply_report(report, now)
+        self.apply_report(report, now, now)
 
-    def apply_report(self, report: LoadReport, received_at: float) -> None:
+    def apply_report(
+        self, report: LoadReport, received_at: float, now: float
+    ) -> None:
         """Applies a report unless a later one has been applied.
 
         Args:
             report: Report that this node or another one received.
             received_at: When it was received, in monotonic seconds.
+            now: Monotonic time, in seconds.
         """
         if received_at <= self.reported_at:
             return
@@ -192,7 +195,7 @@
         self.report = report
         self.reported_at = received_at
         self.in_flight_at_report = self.in_flight
-        self.room.observe_queue(report.waiting, report.slots, received_at)
+        self.room.observe_queue(report.waiting, report.slots, received_at, now)
 
     def observe_success(self, seconds: float, queue_ratio: float) -> float:
         """Records a call that succeeded.
--- a/tests/node/test_load_exchange.py
+++ b/tests/node/test_load_exchange.py
@@ -48,14 +48,14 @@
 def test_the_latest_report_is_used(own_at, shared_at, waiting):
     load = loads.TargetLoad()
     load.observe_report(_report(2), own_at)
-    load.apply_report(_report(9), shared_at)
+    load.apply_report(_report(9), shared_at, 100.0)
     assert load.report == _report(waiting)
 
 
 @pytest.mark.parametrize(("is_leader", "count"), [(False, 0), (True, 1)])
 def test_only_the_leader_forwards_reports_of_other_nodes(is_leader, count):
     target_registry = _make_registry("t1")
-    target_registry.targets["t1"].load.apply_report(_report(9), 100.0)
+    target_registry.targets["t1"].load.apply_report(_report(9), 100.0, 100.0)
     assert len(_send(target_registry, is_leader, 100.1)) == count
 
 
@@ -159,3 +159,21 @@
     load_exchange.LoadExchange(other).apply(sent[0], 100.4)
     assert other.targets["t1"].load.reported_at == pytest.approx(99.8)
     assert len(sent) == 3
+
+
+@pytest.mark.parametrize(
+    ("waiting", "is_limit_known", "count"),
+    [(9, True, 1), (9, False, 0), (2, True, 0)],
+)
+def test_loads_of_pressed_targets_are_sent_at_once(
+    waiting, is_limit_known, count
+):
+    source = _make_registry("t1")
+    source.targets["t1"].load.observe_report(_report(waiting), 100.0)
+    if is_limit_known:
+        source.queue_limit("pool").merge(12.0, 90.0)
+    exchange = load_exchange.LoadExchange(source)
+    assert exchange.knows_limits() == is_limit_known
+    early = list(exchange.make_messages(False, 100.1, only_pressed=True))
+    assert len(early) == count
+    assert len(list(exchange.make_messages(False, 100.4))) == 1 - count
--- a/tests/scheduling/fleet.py
+++ b/tests/scheduling/fleet.py
@@ -65,14 +65,14 @@
             self._end_calls(now)
             if now >= report_at:
                 report_at = now + scenario.report_seconds
-                self._spread(*report)
+                self._spread(*report, now)
                 report = (len(self.waiting), now)
             rate = scenario.demand if now < scenario.demand_until else 2.0
             if self.rng.random() < rate * STEP_SECONDS:
                 self._call(now)
         return self
 
-    def _spread(self, waiting, at):
+    def _spread(self, waiting, at, now):
         """Gives a report to all nodes, with what one of them has learned."""
         if self.scenario.misreport is not None and self.rng.random() < 0.1:
             waiting = self.scenario.misreport
@@ -81,7 +81,7 @@
             key=lambda limit: (limit.own_observations > 0, limit.full_at),
         )
         for target_room in self.rooms:
-            target_room.observe_queue(waiting, SLOTS, at)
+            target_room.observe_queue(waiting, SLOTS, at, now)
             if learned.own_observations:
                 target_room.limit.merge(learned.waiting, learned.full_at)
 
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -36,7 +36,7 @@
 def test_a_target_isn_t_full_while_others_hold_longer_queues():
     limit = queue_limits.QueueLimit()
     for name in ("t2", "t3"):
-        _room(name, limit).observe_queue(12, SLOTS, 9.0)
+        _room(name, limit).observe_queue(12, SLOTS, 9.0, 9.0)
     cause = _room("t1", limit).observe_refusal(4, 8, SLOTS, 10.0)
     assert cause is capacity.RefusalCause.SHEDDING
 
@@ -51,28 +51,28 @@
 )
 def test_a_reset_shows_a_limit_only_if_the_target_is_alive(answered_at, limit):
     room = _room()
-    room.observe_queue(14, SLOTS, 9.9)
+    room.observe_queue(14, SLOTS, 9.9, 9.9)
     room.observe_reset(10.0)
     if answered_at is not None:
-        room.observe_queue(5, SLOTS, answered_at)
+        room.observe_queue(5, SLOTS, answered_at, answered_at)
     assert room.limit.current(20.0) == limit
 
 
 @pytest.mark.parametrize("waiting", [0, SLOTS, 2 * SLOTS - 1])
 def test_a_reset_with_a_short_queue_shows_no_limit(waiting):
     room = _room()
-    room.observe_queue(waiting, SLOTS, 9.9)
+    room.observe_queue(waiting, SLOTS, 9.9, 9.9)
     room.observe_reset(10.0)
-    room.observe_queue(1, SLOTS, 10.1)
+    room.observe_queue(1, SLOTS, 10.1, 10.1)
     assert room.limit.current(10.1) is None
 
 
 def test_a_limit_rises_at_once_to_what_two_targets_hold():
     limit = queue_limits.QueueLimit()
     limit.observe_full(5, 100.0)
-    _room("t2", limit).observe_queue(90, SLOTS, 100.1)
+    _room("t2", limit).observe_queue(90, SLOTS, 100.1, 100.1)
     assert limit.current(100.1) == 5.0
-    _room("t3", limit).observe_queue(12, SLOTS, 100.2)
+    _room("t3", limit).observe_queue(12, SLOTS, 100.2, 100.2)
     assert limit.current(100.2) == 12.0
 
 
@@ -120,6 +120,6 @@
     controller = pacing.ShareController()
     controller.set_level(pacing.QueueLevel(6.0, 0.1))
     for step in range(1, 20):
-        controller.observe_queue(16, 0.4 * step)
+        controller.observe_queue(16, 0.4 * step, 0.4 * step)
     assert controller.share(8.0) < 0.2
     assert controller.share(20.0) > 0.9
--- a/tests/scheduling/test_room.py
+++ b/tests/scheduling/test_room.py
@@ -41,6 +41,13 @@
     assert played.overfull <= 0.03 * played.came.total()
 
 
+@pytest.mark.parametrize("demand", [15.0, 30.0, 90.0])
+def test_with_the_reports_of_pressed_targets_no_call_is_too_many(demand):
+    played = _play(demand=demand, report_seconds=0.1)
+    assert _served_share(played) >= 0.9
+    assert not played.overfull
+
+
 @pytest.mark.parametrize("seconds", [1.0, 3.0, 10.0])
 def test_old_reports_don_t_idle_the_owner_of_a_hot_key(seconds):
     played = _play(
