--- a/src/jujubeyard/targets/loads.py
+++ b/src/jujubeyard/targets/loads.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 
+from jujubeyard.scheduling import capacity
+
 REPORT_HALF_LIFE_SECONDS = 0.4
 """Age at which a load report has half its weight."""
 
@@ -137,7 +139,8 @@
         in_flight: Calls of this node that the target hasn't answered yet.
         report: Latest load report that this node or another one received.
         reported_at: When `report` was received, in monotonic seconds.
-        own_report_at: When this node itself last received a report.
+        reports: Number of reports that were applied.
+        own_reports: Number of those that this node itself received.
         in_flight_at_report: Value of `in_flight` when `report` was applied.
         service_work: Processing times at all targets of the service.
         work: Processing times at this target.
@@ -147,12 +150,14 @@
         answer_bytes: Smoothed size of the target's answers.
         avoid_until: Time before which the target is only chosen if there is
             no other.
+        room: What was learned of the room at the target.
     """
 
     in_flight: int = 0
     report: LoadReport | None = None
     reported_at: float = 0.0
-    own_report_at: float = 0.0
+    reports: int = 0
+    own_reports: int = 0
     in_flight_at_report: int = 0
     service_work: DecayingMean = dataclasses.field(
         default_factory=make_service_mean
@@ -165,24 +170,32 @@
     unreachable_until: float = 0.0
     paused_until: float = 0.0
     answer_bytes: float = 0.0
+    room: capacity.Capacity = dataclasses.field(
+        default_factory=capacity.Capacity
+    )
 
     def observe_report(self, report: LoadReport, now: float) -> None:
         """Applies a report that this node received with an answer."""
-        self.own_report_at = now
-        self.apply_report(report, now)
+        self.own_reports += 1
+        self.apply_report(report, now, now)
 
-    def apply_report(self, report: LoadReport, received_at: float) -> None:
+    def apply_report(
+        self, report: LoadReport, received_at: float, now: float
+    ) -> None:
         """Applies a report unless a later one has been applied.
 
         Args:
             report: Report that this node or another one received.
             received_at: When it was received, in monotonic seconds.
+            now: Monotonic time, in seconds.
         """
         if received_at <= self.reported_at:
             return
+        self.reports += 1
         self.report = report
         self.reported_at = received_at
         self.in_flight_at_report = self.in_flight
+        self.room.observe_queue(report.waiting, report.slots, received_at, now)
 
     def observe_success(self, seconds: float, queue_ratio: float) -> float:
         """Records a call that succeeded.
