--- /dev/null
+++ b/src/jujubeyard/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on when and in which order calls get room at targets."""
--- /dev/null
+++ b/src/jujubeyard/scheduling/shares.py
@@ -0,0 +1,75 @@
+"""Shares of the calls of each route that get room at a service."""
+
+import collections
+import math
+
+SHARE_HALF_LIFE_SECONDS = 5.0
+"""Age at which a call has half its weight in the shares."""
+
+GUARANTEED_SHARE = 0.4
+"""Served share of a route, relative to that of all calls, below which the
+route goes first. No route may fall below a quarter; the rest is for delay."""
+
+MIN_ARRIVALS = 0.5
+"""Weight of the arrivals from which on a route has a guarantee."""
+
+MIN_WEIGHT = 0.01
+"""Weight below which the calls of a route are forgotten."""
+
+
+class RouteShares:
+    """Arrivals at a service and calls that got room, with decaying weights."""
+
+    def __init__(self):
+        self._arrived: collections.Counter[str] = collections.Counter()
+        self._served: collections.Counter[str] = collections.Counter()
+        self._decayed_at = -math.inf
+
+    def observe_arrival(self, route: str, now: float) -> None:
+        """Counts a call that arrived.
+
+        Args:
+            route: Name of its route.
+            now: Monotonic time, in seconds.
+        """
+        self._decay(now)
+        self._arrived[route] += 1.0
+
+    def observe_served(self, route: str, now: float) -> None:
+        """Counts a call that got room.
+
+        Args:
+            route: Name of its route.
+            now: Monotonic time, in seconds.
+        """
+        self._decay(now)
+        self._served[route] += 1.0
+
+    def owed_routes(self, now: float) -> frozenset[str]:
+        """Returns the routes that have got less than their guaranteed share.
+
+        Args:
+            now: Monotonic time, in seconds.
+        """
+        self._decay(now)
+        if not self._arrived:
+            return frozenset()
+        overall = self._served.total() / self._arrived.total()
+        return frozenset(
+            route
+            for route, arrived in self._arrived.items()
+            if arrived >= MIN_ARRIVALS
+            and self._served[route] < GUARANTEED_SHARE * overall * arrived
+        )
+
+    def _decay(self, now: float) -> None:
+        """Reduces all weights by the time since the latest call."""
+        if now <= self._decayed_at:
+            return
+        factor = 0.5 ** ((now - self._decayed_at) / SHARE_HALF_LIFE_SECONDS)
+        self._decayed_at = now
+        for counter in (self._arrived, self._served):
+            for route in list(counter):
+                counter[route] *= factor
+                if counter[route] < MIN_WEIGHT:
+                    del counter[route]
