Let calls wait at the node for room, in the order of their priorities

Change: `node/waiting_room.py` lets such calls wait where the routes of their service differ in priority. Room is noticed when a call of this node ends and at least each 50 ms; the first of each route tries in order. A call that won't get room in time is refused with 503, a displaced one with 429, a shutdown refuses all with 503, each before anything was sent. There the queue at targets gets half of its bound, since the rest waits at the node. A call's bound is computed once, not at each try. Services whose routes have one priority are served as before.

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -300,6 +300,7 @@
             min(started_at + REFUSE_AFTER_SECONDS, stop_by)
         )
         self._server.is_refusing_calls = True
+        self._forwarder.waiting_room.close()
         await self._wait_until_idle(stop_by)
         await self._server.stop_listening()
         self._server.end_calls()
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -16,6 +16,7 @@
 from jujubeyard.node import selection
 from jujubeyard.node import settings
 from jujubeyard.node import upstream
+from jujubeyard.node import waiting_room
 from jujubeyard.routing import admission
 from jujubeyard.routing import retries
 from jujubeyard.routing import split
@@ -51,6 +52,7 @@
 
     Attributes:
         owner_lookup: Finds the owners of keys.
+        waiting_room: Lets calls wait until a target has room.
     """
 
     def __init__(
@@ -92,6 +94,9 @@
         self._selector = selection.TargetSelector(
             cfg, view, self.owner_lookup, log
         )
+        self.waiting_room = waiting_room.WaitingRoom(
+            view, self._selector, self.owner_lookup, metric_set, log
+        )
         self._router_headers = {
             header_names.deadline.lower(),
             header_names.expected_target.lower(),
@@ -162,7 +167,7 @@
         service = state.service.name
         self._retry_budget.earn(service, self._view.node_count())
         while state.remaining_seconds() > attempts.MIN_REMAINING_SECONDS:
-            target = await self._selector.select(state)
+            target = await self.waiting_room.select(state)
             if target is None:
                 break
             if state.tried_targets and not self._retry_budget.spend(service):
@@ -200,6 +205,7 @@
             )
         finally:
             target.load.in_flight -= 1
+            self.waiting_room.tell_of_room(state.service.name, target_id)
         return self._process_result(state, target, result, now)
 
     def _make_outgoing_call(self, state, target) -> upstream.OutgoingCall:
--- a/src/jujubeyard/node/metrics.py
+++ b/src/jujubeyard/node/metrics.py
@@ -56,6 +56,24 @@
             )
         )
 
+        self._waiting = labelled_metrics.LabelledMetric(
+            prometheus_client.Gauge(
+                "jujubeyard_waiting_calls",
+                "Calls that wait for room by service and priority.",
+                ["service", "urgency"],
+                registry=self.registry,
+            )
+        )
+        self._wait_seconds = labelled_metrics.LabelledMetric(
+            prometheus_client.Histogram(
+                "jujubeyard_wait_seconds",
+                "Time that calls waited for room by service and outcome.",
+                ["service", "outcome"],
+                buckets=LATENCY_BUCKETS_SECONDS,
+                registry=self.registry,
+            )
+        )
+
     def count_call(
         self, service: str, code: codes.ResultCode, seconds: float
     ) -> None:
@@ -78,6 +96,26 @@
         """
         self._attempts.child(service, outcome).inc()
 
+    def add_waiting(self, service: str, urgency: int, count: int) -> None:
+        """Changes the number of calls that wait for room.
+
+        Args:
+            service: Name of the service.
+            urgency: Priority of the calls' route.
+            count: Increase; negative if calls wait no longer.
+        """
+        self._waiting.child(service, str(urgency)).inc(count)
+
+    def observe_wait(self, service: str, outcome: str, seconds: float) -> None:
+        """Counts a call that waits no longer.
+
+        Args:
+            service: Name of the service.
+            outcome: Why it waits no longer.
+            seconds: How long it has waited.
+        """
+        self._wait_seconds.child(service, outcome).observe(seconds)
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/jujubeyard/node/owners.py
+++ b/src/jujubeyard/node/owners.py
@@ -65,6 +65,11 @@
                 min(remaining, MOVED_MARK_SECONDS / 3)
             )
 
+    def current_owner_id(self, state: attempts.CallState) -> str:
+        """Returns the owner of a call's key; empty if it has none now."""
+        target = self._current_owner(state)
+        return target.listing.target_id if target is not None else ""
+
     def mark_moved(self, state: attempts.CallState, now: float) -> None:
         """Records that the owner that a call was sent to has lost its shard.
 
--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -168,7 +168,13 @@
             target.listing.slots, now, relative_work
         )
         objective = state.route.objective
-        bound = self._call_bounds.observe(service.name, objective)
+        if not state.latency_bound:
+            state.latency_bound = self._call_bounds.observe(
+                service.name, objective
+            )
+        bound = state.latency_bound
+        if state.may_wait:
+            bound *= bounds.WAITING_SHARE
         nodes = self._view.node_count()
         is_full = not admission.has_spare_connection(
             target, service.max_connections, nodes
@@ -176,10 +182,13 @@
         if is_full or admission.should_refuse(
             expected_seconds, bound, state.remaining_seconds()
         ):
+            state.lacks_room = True
             state.latest_code = codes.ResultCode.OVERLOADED
             state.retry_after = admission.retry_after(
                 expected_seconds, objective
             )
+            if state.may_wait:
+                return False
             self._log.log_call(
                 "call refused, target overloaded",
                 call=state.call.call_id,
--- /dev/null
+++ b/src/jujubeyard/node/waiting_room.py
@@ -0,0 +1,368 @@
+"""Lets calls wait at the node until a target has room for them."""
+
+import asyncio
+import dataclasses
+import time
+
+from jujubeyard import bodies
+from jujubeyard import codes
+from jujubeyard.node import attempts
+from jujubeyard.node import cluster_view
+from jujubeyard.node import journal
+from jujubeyard.node import metrics
+from jujubeyard.node import owners
+from jujubeyard.node import selection
+from jujubeyard.routing import config
+from jujubeyard.scheduling import shares
+from jujubeyard.scheduling import waiting
+from jujubeyard.targets import registry
+
+CHECK_INTERVAL_SECONDS = 0.05
+"""Longest time until waiting calls notice room of which nothing told them, as
+by a load report of another node or a new target."""
+
+MAX_WAITING_CALLS = 512
+"""Calls that may wait at the node."""
+
+MAX_WAITING_BYTES = 8 * bodies.MIB
+"""Size of all bodies of waiting calls from which on further calls displace
+others."""
+
+MAX_QUEUES = 1000
+"""Number of queues from which on empty ones are dropped."""
+
+GRANTED = "granted"
+NO_TARGET = "no target"
+LEFT = "caller left"
+
+REFUSAL_CODES = {
+    waiting.Reason.TOO_LATE: codes.ResultCode.DEADLINE_UNREACHABLE,
+    waiting.Reason.DISPLACED: codes.ResultCode.OVERLOADED,
+    waiting.Reason.FULL: codes.ResultCode.OVERLOADED,
+    waiting.Reason.SHUTDOWN: codes.ResultCode.SHUTTING_DOWN,
+}
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Place:
+    """A waiting call's place in its queue.
+
+    Attributes:
+        waiter: The call, as its queue knows it.
+        body_bytes: Size of its body.
+        turn: Set when the call may try, or is refused.
+        refusal: Why the call is refused, if it is.
+    """
+
+    waiter: waiting.Waiter
+    body_bytes: int
+    turn: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    refusal: waiting.Refusal | None = None
+
+
+class _Line:
+    """A queue with the places of its calls.
+
+    Attributes:
+        queue: Decides about the calls.
+        places: Places of the waiting calls.
+        trying: The call whose turn it is.
+        tried_routes: Routes whose calls have found no room since the latest
+            news of room.
+    """
+
+    def __init__(self, queue: waiting.WaitingQueue):
+        self.queue = queue
+        self.places: dict[waiting.Waiter, _Place] = {}
+        self.trying: waiting.Waiter | None = None
+        self.tried_routes: set[str] = set()
+
+    def offer(self, now: float) -> None:
+        """Gives the first call its turn, unless another one is trying."""
+        if self.trying is not None:
+            return
+        for waiter in self.queue.turns(now):
+            if waiter.route in self.tried_routes:
+                continue
+            self.trying = waiter
+            self.places[waiter].turn.set()
+            return
+
+    def refuse(self, refusals: list[waiting.Refusal]) -> None:
+        """Tells waiting calls that they are refused."""
+        for refusal in refusals:
+            place = self.places[refusal.waiter]
+            place.refusal = refusal
+            place.turn.set()
+
+
+class WaitingRoom:
+    """Selects targets, and lets calls wait that find no room.
+
+    Calls wait only for services whose routes differ in priority.
+    """
+
+    def __init__(
+        self,
+        view: cluster_view.ClusterView,
+        selector: selection.TargetSelector,
+        owner_lookup: owners.OwnerLookup,
+        metric_set: metrics.Metrics,
+        log: journal.Journal,
+    ):
+        """Initializes the waiting room.
+
+        Args:
+            view: Routes and targets.
+            selector: Selects the targets.
+            owner_lookup: Finds the owners of keys.
+            metric_set: Counts waiting calls.
+            log: Log of calls that have waited.
+        """
+        self._view = view
+        self._selector = selector
+        self._owner_lookup = owner_lookup
+        self._metrics = metric_set
+        self._log = log
+        self._lines: dict[tuple[str, str], _Line] = {}
+        self._shares: dict[str, shares.RouteShares] = {}
+        self._configuration: config.Configuration | None = None
+        self._services: frozenset[str] = frozenset()
+        self._waiting_calls = 0
+        self._waiting_bytes = 0
+        self._check: asyncio.TimerHandle | None = None
+        self._is_closed = False
+
+    async def select(self, state: attempts.CallState) -> registry.Target | None:
+        """Returns the target for the next attempt at a call, once it has room.
+
+        Args:
+            state: The call; if it gets no target, its latest code and the time
+                until a retry say why.
+        """
+        service = state.service.name
+        state.may_wait = (
+            not self._is_closed
+            and not state.may_have_run
+            and self._acts_for(service)
+        )
+        state.lacks_room = False
+        if not state.may_wait:
+            return await self._selector.select(state)
+        now = time.monotonic()
+        line = self._line(service, self._owner(state))
+        waiter = self._make_waiter(state, now)
+        if not state.tried_targets:
+            self._shares[service].observe_arrival(waiter.route, now)
+        if line.queue.goes_first(waiter, now):
+            target = await self._selector.select(state)
+            if target is not None:
+                line.queue.grant(waiter, time.monotonic())
+                return target
+            if not state.lacks_room or self._is_closed:
+                return None
+        return await self._wait(state, waiter)
+
+    def tell_of_room(self, service: str, target_id: str) -> None:
+        """Lets waiting calls try again, as a call at a target has ended.
+
+        Args:
+            service: Name of the service.
+            target_id: ID of the target.
+        """
+        now = time.monotonic()
+        for owner in ("", target_id):
+            line = self._lines.get((service, owner))
+            if line is not None and line.places:
+                line.tried_routes.clear()
+                line.offer(now)
+
+    def close(self) -> None:
+        """Refuses all waiting calls, and lets none wait from now on."""
+        self._is_closed = True
+        now = time.monotonic()
+        for line in self._lines.values():
+            line.refuse(line.queue.take_all(now))
+
+    def _acts_for(self, service: str) -> bool:
+        """Returns whether calls of a service may wait."""
+        if self._view.routes is None:
+            return False
+        configuration = self._view.routes.configuration
+        if configuration is not self._configuration:
+            self._configuration = configuration
+            self._services = waiting.services_with_priorities(configuration)
+        return service in self._services
+
+    def _owner(self, state: attempts.CallState) -> str:
+        """Returns the owner that a call waits for; empty if any target will do.
+
+        A call whose key has no owner at the moment isn't tied to one either.
+        """
+        if not state.is_keyed:
+            return ""
+        return self._owner_lookup.current_owner_id(state)
+
+    def _line(self, service: str, owner: str) -> _Line:
+        line = self._lines.get((service, owner))
+        if line is None:
+            if len(self._lines) >= MAX_QUEUES:
+                self._drop_empty_lines()
+            route_shares = self._shares.setdefault(
+                service, shares.RouteShares()
+            )
+            line = _Line(waiting.WaitingQueue(route_shares))
+            self._lines[service, owner] = line
+        return line
+
+    def _drop_empty_lines(self) -> None:
+        self._lines = {
+            name: line for name, line in self._lines.items() if line.places
+        }
+
+    def _make_waiter(
+        self, state: attempts.CallState, now: float
+    ) -> waiting.Waiter:
+        call = state.call
+        work_seconds = self._selector.route_work.relative_work(
+            state.service.name, state.route.name, 1.0
+        )
+        return waiting.make_waiter(
+            state.route,
+            f"{call.method} {call.host}{call.path} {call.key}",
+            call.received_at,
+            state.deadline,
+            work_seconds,
+            now,
+        )
+
+    async def _wait(
+        self,
+        state: attempts.CallState,
+        waiter: waiting.Waiter,
+    ) -> registry.Target | None:
+        """Returns a target once the call has had its turn and found room."""
+        line = self._line(state.service.name, self._owner(state))
+        waiter.joined_at = time.monotonic()
+        ahead = line.queue.ahead_by_route(waiter, waiter.joined_at)
+        place = self._join(state, line, waiter)
+        outcome = LEFT
+        try:
+            while True:
+                await place.turn.wait()
+                place.turn.clear()
+                if place.refusal is not None:
+                    outcome = place.refusal.reason.value
+                    state.latest_code = REFUSAL_CODES[place.refusal.reason]
+                    state.retry_after = place.refusal.retry_after
+                    return None
+                state.lacks_room = False
+                target = await self._selector.select(state)
+                if target is not None:
+                    outcome = GRANTED
+                    return target
+                if not state.lacks_room:
+                    outcome = NO_TARGET
+                    return None
+                self._end_turn(line, waiter)
+        finally:
+            self._leave(state, line, place, outcome)
+            self._log_wait(state, waiter, outcome, ahead)
+
+    def _join(
+        self,
+        state: attempts.CallState,
+        line: _Line,
+        waiter: waiting.Waiter,
+    ) -> _Place:
+        """Returns the call's place; it may be refused there at once."""
+        place = _Place(waiter, len(state.call.body))
+        line.places[waiter] = place
+        self._waiting_calls += 1
+        self._waiting_bytes += place.body_bytes
+        self._metrics.add_waiting(state.service.name, waiter.urgency, 1)
+        is_full = (
+            self._waiting_calls > MAX_WAITING_CALLS
+            or self._waiting_bytes > MAX_WAITING_BYTES
+        )
+        line.refuse(line.queue.join(waiter, waiter.joined_at, is_full))
+        self._schedule_check()
+        return place
+
+    def _end_turn(self, line: _Line, waiter: waiting.Waiter) -> None:
+        """Records that a call has found no room, and lets the next one try."""
+        line.tried_routes.add(waiter.route)
+        if line.trying is waiter:
+            line.trying = None
+        line.offer(time.monotonic())
+
+    def _leave(
+        self,
+        state: attempts.CallState,
+        line: _Line,
+        place: _Place,
+        outcome: str,
+    ) -> None:
+        """Removes a call that doesn't wait any more."""
+        now = time.monotonic()
+        waiter = place.waiter
+        if outcome == GRANTED:
+            line.queue.grant(waiter, now)
+        else:
+            line.queue.leave(waiter, now)
+        del line.places[waiter]
+        self._waiting_calls -= 1
+        self._waiting_bytes -= place.body_bytes
+        if line.trying is waiter:
+            line.trying = None
+            line.offer(now)
+        self._metrics.add_waiting(state.service.name, waiter.urgency, -1)
+
+    def _log_wait(
+        self,
+        state: attempts.CallState,
+        waiter: waiting.Waiter,
+        outcome: str,
+        ahead: dict[str, int],
+    ) -> None:
+        """Counts and logs how a call's wait ended.
+
+        Args:
+            state: The call.
+            waiter: The call, as its queue knew it.
+            outcome: How its wait ended.
+            ahead: Number of calls that went before it, by route.
+        """
+        seconds = time.monotonic() - waiter.joined_at
+        service = state.service.name
+        self._metrics.observe_wait(service, outcome, seconds)
+        self._log.log_call(
+            "call waited for room",
+            call=state.call.call_id,
+            service=service,
+            route=waiter.route,
+            urgency=waiter.urgency,
+            seconds=round(seconds, 4),
+            ahead=ahead,
+            outcome=outcome,
+            retry_after=round(state.retry_after, 3),
+        )
+
+    def _schedule_check(self) -> None:
+        if self._check is None:
+            self._check = asyncio.get_running_loop().call_later(
+                CHECK_INTERVAL_SECONDS, self._check_lines
+            )
+
+    def _check_lines(self) -> None:
+        """Refuses calls that won't get room in time, and lets others try."""
+        self._check = None
+        now = time.monotonic()
+        for line in self._lines.values():
+            if not line.places:
+                continue
+            line.refuse(line.queue.take_hopeless(now))
+            line.tried_routes.clear()
+            line.offer(now)
+        if self._waiting_calls:
+            self._schedule_check()
--- a/src/jujubeyard/scheduling/shares.py
+++ b/src/jujubeyard/scheduling/shares.py
@@ -45,6 +45,10 @@
         self._decay(now)
         self._served[route] += 1.0
 
+    def served_per_second(self) -> float:
+        """Returns the rate of calls that got room lately."""
+        return self._served.total() * math.log(2) / SHARE_HALF_LIFE_SECONDS
+
     def owed_routes(self, now: float) -> frozenset[str]:
         """Returns the routes that have got less than their guaranteed share.
 
--- a/src/jujubeyard/scheduling/waiting.py
+++ b/src/jujubeyard/scheduling/waiting.py
@@ -30,8 +30,8 @@
 ROOM_HALF_LIFE_SECONDS = 2.0
 """Age at which freed room has half its weight in the expected rate."""
 
-PRIOR_ROOM_PER_SECOND = 4.0
-"""Expected rate of calls that get room before any was observed."""
+MIN_PRIOR_ROOM_PER_SECOND = 10.0
+"""Least rate of room that is expected before calls have waited."""
 
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 2.0
@@ -158,20 +158,20 @@
         """Counts a waiting call that got room."""
         self._grants[urgency] += 1.0
 
-    def rate(self, urgency: int) -> float:
+    def rate(self, urgency: int, prior: float) -> float:
         """Returns the calls per second that aren't more urgent than a call.
 
         Args:
             urgency: Urgency of the call.
+            prior: Rate expected before calls have waited, in calls per second;
+                it counts as much as one call.
         """
         grants = sum(
             weight
             for granted, weight in self._grants.items()
             if granted >= urgency
         )
-        return (grants + 1.0) / (
-            self._waited_seconds + 1.0 / PRIOR_ROOM_PER_SECOND
-        )
+        return (grants + 1.0) / (self._waited_seconds + 1.0 / prior)
 
 
 class _Lane:
@@ -223,6 +223,7 @@
         self._limit = limit
         self._lanes: dict[str, _Lane] = {}
         self._owed: frozenset[str] = frozenset()
+        self._prior_rate = MIN_PRIOR_ROOM_PER_SECOND
         self._room = FreedRoom()
         self._size = 0
 
@@ -246,15 +247,19 @@
             turns[0], now
         )
 
-    def position(self, waiter: Waiter, now: float) -> int:
-        """Returns how many calls go before a call.
+    def ahead_by_route(self, waiter: Waiter, now: float) -> dict[str, int]:
+        """Returns how many calls of each route go before a call.
 
         Args:
             waiter: The call, whether it waits already or not.
             now: Monotonic time, in seconds.
         """
         order = self._order(waiter, now)
-        return sum(self._order(other, now) < order for other in self._waiters())
+        return collections.Counter(
+            other.route
+            for other in self._waiters()
+            if self._order(other, now) < order
+        )
 
     def join(
         self, waiter: Waiter, now: float, is_full: bool = False
@@ -349,6 +354,9 @@
         """Updates what depends on the time."""
         self._room.advance(now, self._size > 0)
         self._owed = self._shares.owed_routes(now)
+        self._prior_rate = max(
+            MIN_PRIOR_ROOM_PER_SECOND, self._shares.served_per_second()
+        )
         for lane in self._lanes.values():
             lane.update(now)
 
@@ -382,8 +390,8 @@
             waiter: The call; if its route is owed room, any room is for it.
         """
         urgency = 0 if waiter.route in self._owed else waiter.urgency
-        return 1.0 / self._room.rate(urgency) + sum(
-            count / self._room.rate(min(other, urgency))
+        return 1.0 / self._room.rate(urgency, self._prior_rate) + sum(
+            count / self._room.rate(min(other, urgency), self._prior_rate)
             for other, count in ahead.items()
         )
 
--- /dev/null
+++ b/tests/node/test_waiting_room.py
@@ -0,0 +1,173 @@
+"""Tests of calls that wait at the node for room at a target."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from jujubeyard import codes
+from jujubeyard.node import waiting_room
+from jujubeyard.routing import config
+from jujubeyard.routing import match
+from jujubeyard.targets import loads
+from tests.node import test_forward
+
+FULL = 30
+URGENCIES = {"read": 0, "order": 1, "lookup": 0, "urgent": 2}
+ALL_ROUTES = [("read", None), ("order", None), ("lookup", 5), ("urgent", 5)]
+
+
+def give_priorities(harness, urgencies):
+    routes = tuple(
+        dataclasses.replace(route, urgency=urgencies.get(route.name, 1))
+        for route in test_forward.ROUTES
+    )
+    harness.view.routes = match.RouteTable(
+        config.Configuration(1, routes, test_forward.SERVICES, 1000)
+    )
+
+
+@pytest.fixture
+def harness():
+    """A node with one target for each service, which has no room."""
+    harness = test_forward.Harness()
+    give_priorities(harness, URGENCIES)
+    harness.add_target("t1", slots=1)
+    harness.add_target("t2", "desk", slots=1)
+    harness.set_owner("t2")
+    harness.client.script = [test_forward.make_answer() for _ in range(30)]
+    for target in harness.view.registry.targets.values():
+        for _ in range(30):
+            target.load.observe_success(0.1, 0.0)
+        target.load.in_flight = FULL
+    return harness
+
+
+def free_room(harness):
+    for target in harness.view.registry.targets.values():
+        target.load.in_flight = 0
+
+
+async def start_calls(harness, routes):
+    tasks = []
+    for route, key in routes:
+        tasks.append(asyncio.create_task(harness.serve(route, key=key)))
+        await asyncio.sleep(0.01)
+    return tasks
+
+
+def find_waits(harness):
+    return [
+        fields
+        for event, fields in harness.log.events
+        if event == "call waited for room"
+    ]
+
+
+@pytest.mark.parametrize(("route", "key"), ALL_ROUTES)
+async def test_call_is_served_soon_after_room_came(harness, route, key):
+    (task,) = await start_calls(harness, [(route, key)])
+    await asyncio.sleep(0.05)
+    assert not task.done()
+    free_room(harness)
+    reply = await asyncio.wait_for(
+        task, 2 * waiting_room.CHECK_INTERVAL_SECONDS
+    )
+    assert reply.status == 200
+    (wait,) = find_waits(harness)
+    assert wait["outcome"] == waiting_room.GRANTED
+    assert 'jujubeyard_waiting_calls{service="' in str(harness.metrics.render())
+
+
+@pytest.mark.parametrize(("route", "key"), ALL_ROUTES)
+async def test_call_that_gets_no_room_is_refused_with_time_left(
+    harness, route, key
+):
+    started_at = asyncio.get_running_loop().time()
+    reply = await harness.serve(route, key=key)
+    assert reply.code is codes.ResultCode.DEADLINE_UNREACHABLE
+    assert reply.status == 503
+    assert reply.retry_after > 0.0
+    assert asyncio.get_running_loop().time() - started_at < 0.6
+    assert not harness.client.sent
+
+
+async def test_no_call_waits_if_all_routes_have_the_same_priority(harness):
+    give_priorities(harness, {})
+    reply = await harness.serve("read")
+    assert reply.code is codes.ResultCode.OVERLOADED
+    assert not find_waits(harness)
+
+
+async def test_end_of_a_call_lets_the_most_urgent_go_first(harness):
+    target = harness.view.registry.targets["t1"]
+    target.load.in_flight = 0
+    ended = asyncio.Event()
+
+    async def run(call):
+        await ended.wait()
+        return test_forward.make_answer()
+
+    harness.client.script = [run] * 9
+    running = await start_calls(harness, [("order", None)] * 6)
+    waiting = await start_calls(harness, [("order", None), ("read", None)])
+    sent_before = len(harness.client.sent)
+    assert sent_before < 7
+    ended.set()
+    replies = await asyncio.gather(*running, *waiting)
+    assert {reply.status for reply in replies} == {200}
+    assert harness.client.sent[sent_before].path.startswith("/read/")
+
+
+async def test_caller_that_leaves_frees_its_place(harness):
+    gone, kept = await start_calls(harness, [("read", None)] * 2)
+    gone.cancel()
+    await asyncio.wait([gone])
+    free_room(harness)
+    assert (await kept).status == 200
+    outcomes = [wait["outcome"] for wait in find_waits(harness)]
+    assert outcomes == [waiting_room.LEFT, waiting_room.GRANTED]
+    room = harness.forwarder.waiting_room
+    assert (room._waiting_calls, room._waiting_bytes) == (0, 0)
+
+
+async def test_full_node_refuses_the_less_urgent(harness, monkeypatch):
+    monkeypatch.setattr(waiting_room, "MAX_WAITING_CALLS", 1)
+    order, read = await start_calls(harness, [("order", None), ("read", None)])
+    reply = await order
+    assert reply.code is codes.ResultCode.OVERLOADED
+    assert reply.retry_after > 0.0
+    free_room(harness)
+    assert (await read).status == 200
+
+
+async def test_shutdown_refuses_waiting_calls_and_lets_none_wait(harness):
+    tasks = await start_calls(harness, ALL_ROUTES)
+    harness.forwarder.waiting_room.close()
+    replies = await asyncio.wait_for(asyncio.gather(*tasks), 0.1)
+    assert {reply.code.name for reply in replies} == {"SHUTTING_DOWN"}
+    assert (await harness.serve("read")).code is codes.ResultCode.OVERLOADED
+
+
+@pytest.mark.parametrize(
+    ("age_seconds", "may_wait"), [(0.0, True), (1.0, True), (10.0, False)]
+)
+async def test_old_knowledge_of_a_full_target_holds_no_call(
+    harness, age_seconds, may_wait
+):
+    target = harness.view.registry.targets["t1"]
+    target.load.in_flight = 0
+    target.load.apply_report(
+        loads.LoadReport(1, 60, 1, 1.0),
+        asyncio.get_running_loop().time() - age_seconds,
+    )
+    await harness.serve("read")
+    assert bool(find_waits(harness)) is may_wait
+
+
+async def test_call_of_a_moved_key_follows_it_to_the_new_owner(harness):
+    (task,) = await start_calls(harness, [("lookup", 5)])
+    harness.add_target("t3", "desk")
+    harness.set_owner("t3", fence=2, revision=2)
+    assert (await task).status == 200
+    assert [call.address for call in harness.client.sent] == ["t3:1"]
