Let less urgent calls add only to shorter queues at targets

Change: where calls wait at the node, the queue at a target is bounded by half of the objective of the most urgent calls, and by less for each priority that goes before a call's own. All nodes see that queue in the load reports, so that less urgent calls give way to urgent ones of other nodes without a new message. Routes that are owed room have the most urgent calls' bound.

--- a/src/jujubeyard/node/attempts.py
+++ b/src/jujubeyard/node/attempts.py
@@ -32,11 +32,10 @@
         latest_code: Result code of the latest attempt.
         retry_after: When the caller should retry if the call is refused, in
             seconds.
-        latency_bound: How long the call may take at a target, in seconds; 0.0
-            until it is known.
         lacks_room: Whether the latest selection found targets, but none with
             room for the call.
         may_wait: Whether the call may wait at the node for room.
+        rank: Number of priorities of the service that go before the call's.
     """
 
     call: calls.Call
@@ -50,9 +49,9 @@
     queue_ratio: float = 0.0
     latest_code: codes.ResultCode = codes.ResultCode.NO_TARGET
     retry_after: float = NO_TARGET_RETRY_SECONDS
-    latency_bound: float = 0.0
     lacks_room: bool = False
     may_wait: bool = False
+    rank: int = 0
 
     @property
     def is_keyed(self) -> bool:
--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -14,6 +14,7 @@
 from jujubeyard.routing import bounds
 from jujubeyard.routing import coldstart
 from jujubeyard.routing import config
+from jujubeyard.scheduling import queue_bounds
 from jujubeyard.targets import loads
 from jujubeyard.targets import registry
 
@@ -24,6 +25,8 @@
     """Selects targets among those that the node's view lists.
 
     Attributes:
+        queue_bounds: Bounds on the queues at targets where calls wait at the
+            node.
         route_work: Processing times of calls by service and route.
     """
 
@@ -54,6 +57,7 @@
         )
         self._rng = random.Random()
         self._call_bounds = bounds.CallBounds()
+        self.queue_bounds = queue_bounds.QueueBounds()
         self.route_work = loads.RouteWork()
 
     def record_call(self, target: registry.Target, now: float) -> None:
@@ -141,6 +145,21 @@
             target.listing.target_id, service.cold_rate, self._view.nodes, now
         )
 
+    def _latency_bound(
+        self,
+        state: attempts.CallState,
+        target: registry.Target,
+        relative_work: float,
+    ) -> float:
+        """Returns how long a call may take at a target, in seconds."""
+        service = state.service.name
+        if not state.may_wait:
+            return self._call_bounds.observe(service, state.route.objective)
+        work_seconds = target.load.work_seconds()
+        return relative_work * work_seconds + self.queue_bounds.seconds(
+            service, state.rank, work_seconds
+        )
+
     def _admit(
         self, state: attempts.CallState, target: registry.Target, now: float
     ) -> bool:
@@ -168,13 +187,7 @@
             target.listing.slots, now, relative_work
         )
         objective = state.route.objective
-        if not state.latency_bound:
-            state.latency_bound = self._call_bounds.observe(
-                service.name, objective
-            )
-        bound = state.latency_bound
-        if state.may_wait:
-            bound *= bounds.WAITING_SHARE
+        bound = self._latency_bound(state, target, relative_work)
         nodes = self._view.node_count()
         is_full = not admission.has_spare_connection(
             target, service.max_connections, nodes
--- a/src/jujubeyard/node/waiting_room.py
+++ b/src/jujubeyard/node/waiting_room.py
@@ -127,7 +127,7 @@
         self._lines: dict[tuple[str, str], _Line] = {}
         self._shares: dict[str, shares.RouteShares] = {}
         self._configuration: config.Configuration | None = None
-        self._services: frozenset[str] = frozenset()
+        self._urgencies: dict[str, list[int]] = {}
         self._waiting_calls = 0
         self._waiting_bytes = 0
         self._check: asyncio.TimerHandle | None = None
@@ -154,6 +154,10 @@
         waiter = self._make_waiter(state, now)
         if not state.tried_targets:
             self._shares[service].observe_arrival(waiter.route, now)
+            self._selector.queue_bounds.observe(
+                service, state.route.urgency, state.route.objective
+            )
+        state.rank = self._rank(state, line)
         if line.queue.goes_first(waiter, now):
             target = await self._selector.select(state)
             if target is not None:
@@ -191,8 +195,18 @@
         configuration = self._view.routes.configuration
         if configuration is not self._configuration:
             self._configuration = configuration
-            self._services = waiting.services_with_priorities(configuration)
-        return service in self._services
+            self._urgencies = waiting.find_priorities(configuration)
+        return len(self._urgencies.get(service, ())) > 1
+
+    def _rank(self, state: attempts.CallState, line: _Line) -> int:
+        """Returns how many priorities go before a call's.
+
+        None does if the call's route is owed room.
+        """
+        if line.queue.is_owed(state.route.name):
+            return 0
+        urgencies = self._urgencies[state.service.name]
+        return urgencies.index(state.route.urgency)
 
     def _owner(self, state: attempts.CallState) -> str:
         """Returns the owner that a call waits for; empty if any target will do.
@@ -257,6 +271,7 @@
                     state.retry_after = place.refusal.retry_after
                     return None
                 state.lacks_room = False
+                state.rank = self._rank(state, line)
                 target = await self._selector.select(state)
                 if target is not None:
                     outcome = GRANTED
--- a/src/jujubeyard/routing/bounds.py
+++ b/src/jujubeyard/routing/bounds.py
@@ -10,10 +10,6 @@
 LATENCY_FACTOR = 2.0
 """Multiple of the mean latency objective of the calls."""
 
-WAITING_SHARE = 0.5
-"""Share of the bound where calls wait at the node instead, in the order of
-their priorities."""
-
 OBJECTIVE_DECAY = 0.99
 """Factor that each new call applies to the weight of earlier ones."""
 
--- a/src/jujubeyard/scheduling/waiting.py
+++ b/src/jujubeyard/scheduling/waiting.py
@@ -82,15 +82,13 @@
     retry_after: float
 
 
-def services_with_priorities(cfg: config.Configuration) -> frozenset[str]:
-    """Returns the services whose routes differ in priority."""
+def find_priorities(cfg: config.Configuration) -> dict[str, list[int]]:
+    """Returns the priorities of each service's routes, most urgent first."""
     urgencies = collections.defaultdict(set)
     for route in cfg.routes:
         for share in route.shares:
             urgencies[share.service].add(route.urgency)
-    return frozenset(
-        service for service, found in urgencies.items() if len(found) > 1
-    )
+    return {service: sorted(found) for service, found in urgencies.items()}
 
 
 def make_waiter(
@@ -240,6 +238,10 @@
         heads = [lane.head() for lane in self._lanes.values()]
         return sorted(heads, key=lambda head: self._order(head, now))
 
+    def is_owed(self, route: str) -> bool:
+        """Returns whether a route has got less than its guaranteed share."""
+        return route in self._owed
+
     def goes_first(self, waiter: Waiter, now: float) -> bool:
         """Returns whether a call that arrives would be the first to go."""
         turns = self.turns(now)
--- a/tests/node/test_waiting_room.py
+++ b/tests/node/test_waiting_room.py
@@ -100,23 +100,12 @@
 
 
 async def test_end_of_a_call_lets_the_most_urgent_go_first(harness):
-    target = harness.view.registry.targets["t1"]
-    target.load.in_flight = 0
-    ended = asyncio.Event()
-
-    async def run(call):
-        await ended.wait()
-        return test_forward.make_answer()
-
-    harness.client.script = [run] * 9
-    running = await start_calls(harness, [("order", None)] * 6)
-    waiting = await start_calls(harness, [("order", None), ("read", None)])
-    sent_before = len(harness.client.sent)
-    assert sent_before < 7
-    ended.set()
-    replies = await asyncio.gather(*running, *waiting)
-    assert {reply.status for reply in replies} == {200}
-    assert harness.client.sent[sent_before].path.startswith("/read/")
+    tasks = await start_calls(harness, [("order", None), ("read", None)])
+    free_room(harness)
+    harness.forwarder.waiting_room.tell_of_room("pool", "t1")
+    await asyncio.gather(*tasks)
+    paths = [call.path.split("/")[1] for call in harness.client.sent]
+    assert paths == ["read", "order"]
 
 
 async def test_caller_that_leaves_frees_its_place(harness):
@@ -171,3 +160,17 @@
     harness.set_owner("t3", fence=2, revision=2)
     assert (await task).status == 200
     assert [call.address for call in harness.client.sent] == ["t3:1"]
+
+
+async def test_urgent_call_gets_room_where_a_less_urgent_one_waits(harness):
+    """The queue at the target is another node's; this node has no waiters."""
+    target = harness.view.registry.targets["t1"]
+    target.load.in_flight = 0
+    target.load.apply_report(
+        loads.LoadReport(1, 3, 1, 1.0), asyncio.get_running_loop().time()
+    )
+    order, read = await start_calls(harness, [("order", None), ("read", None)])
+    assert (await read).status == 200
+    (call,) = harness.client.sent
+    assert call.path.startswith("/read/")
+    order.cancel()
--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -259,13 +259,12 @@
 
 
 @pytest.mark.parametrize(
-    ("urgencies", "acts"), [((1, 1), False), ((0, 1), True), ((1,), False)]
+    ("urgencies", "found"), [((1, 1), [1]), ((2, 0, 2), [0, 2]), ((1,), [1])]
 )
-def test_services_whose_routes_differ_in_priority(urgencies, acts):
+def test_priorities_of_a_service(urgencies, found):
     routes = tuple(
         make_kind(f"r{index}", urgency, 1.0, 2.0, 0.0).route
         for index, urgency in enumerate(urgencies)
     )
     cfg = config.Configuration(1, routes, {}, 1000)
-    expected = {"desk"} if acts else set()
-    assert waiting.services_with_priorities(cfg) == expected
+    assert waiting.find_priorities(cfg) == {"desk": found}
