--- a/src/jujubeyard/node/attempts.py
+++ b/src/jujubeyard/node/attempts.py
@@ -34,6 +34,8 @@
             seconds.
         lacks_room: Whether the latest selection found no target only because
             none has room for the call; `retry_after` says when one will.
+        may_wait: Whether the call may wait at the node for room.
+        rank: Number of priorities of the service that go before the call's.
     """
 
     call: calls.Call
@@ -48,6 +50,8 @@
     latest_code: codes.ResultCode = codes.ResultCode.NO_TARGET
     retry_after: float = NO_TARGET_RETRY_SECONDS
     lacks_room: bool = False
+    may_wait: bool = False
+    rank: int = 0
 
     @property
     def is_keyed(self) -> bool:
--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -16,6 +16,7 @@
 from jujubeyard.routing import bounds
 from jujubeyard.routing import coldstart
 from jujubeyard.routing import config
+from jujubeyard.scheduling import queue_bounds
 from jujubeyard.scheduling import refusals
 from jujubeyard.scheduling import room
 from jujubeyard.targets import loads
@@ -28,6 +29,8 @@
     """Selects targets among those that the node's view lists.
 
     Attributes:
+        queue_bounds: Bounds on the queues at targets where calls wait at the
+            node.
         route_work: Processing times of calls by service and route.
     """
 
@@ -62,6 +65,7 @@
         self._rng = random.Random()
         self._call_bounds = bounds.CallBounds()
         self._room_keeper = room.RoomKeeper(self._rng)
+        self.queue_bounds = queue_bounds.QueueBounds()
         self.route_work = loads.RouteWork()
 
     def record_call(self, target: registry.Target, now: float) -> None:
@@ -220,6 +224,22 @@
             target.listing.target_id, service.cold_rate, self._view.nodes, now
         )
 
+    def _latency_bound(
+        self,
+        state: attempts.CallState,
+        target: registry.Target,
+        relative_work: float,
+        paced: room.PacedCall,
+    ) -> float:
+        """Returns how long a call may take at a target, in seconds."""
+        service = state.service.name
+        if not state.may_wait:
+            return paced.bound_seconds
+        work_seconds = target.load.work_seconds()
+        return relative_work * work_seconds + self.queue_bounds.seconds(
+            service, state.rank, work_seconds
+        )
+
     def _admit(
         self,
         state: attempts.CallState,
@@ -251,7 +271,7 @@
             target.listing.slots, now, relative_work
         )
         objective = state.route.objective
-        bound = paced.bound_seconds
+        bound = self._latency_bound(state, target, relative_work, paced)
         nodes = self._view.node_count()
         is_full = not admission.has_spare_connection(
             target, service.max_connections, nodes
@@ -259,6 +279,7 @@
         if is_full or admission.should_refuse(
             expected_seconds, bound, state.remaining_seconds()
         ):
+            state.lacks_room = True
             state.latest_code = codes.ResultCode.OVERLOADED
             state.lacks_room = True
             state.retry_after = admission.retry_after(
@@ -267,6 +288,8 @@
             if not paced.is_new:
                 return False
             self._metrics.count_lacking_room(service.name, paced.urgency)
+            if state.may_wait:
+                return False
             self._log.log_call(
                 "call refused, target overloaded",
                 call=state.call.call_id,
--- a/src/jujubeyard/scheduling/__init__.py
+++ b/src/jujubeyard/scheduling/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions under load: room at targets, pacing, refusals."""
+"""Decisions under load: room at targets, and who gets it and when."""
