Estimate the work of calls and choose where they end first

Callers saw: calls that look alike cost targets very different amounts of work, and targets of a service differ in speed by 2.3 times; a call was sent as if it needed the mean of its service.

Change: a package `scheduling` without I/O. `work` learns the work of calls by service, route, size, path and key, each averaged with the wider group, with single outliers cut off and the number of groups bounded, and tells it from the slowdown of targets. `backlog` holds the work that is left of the calls in flight. `finish` joins both with the latest report; where that is old, the calls of others tend to what this node's own calls suggest instead of to none. `DecayingMean` moves from `targets.loads` to `scheduling.means`.

Weighed: the finish time alone as the cost.

Evidence: tests/scheduling, seeded plays over targets of slowdowns 0.7 and 1.6 with momentary slowness and a tail of 1% of 5 times the work.

--- a/bench/node_costs.py
+++ b/bench/node_costs.py
@@ -16,10 +16,10 @@
 from jujubeyard.ownership import demand
 from jujubeyard.ownership import planner
 from jujubeyard.ownership import table
-from jujubeyard.routing import balancing
 from jujubeyard.routing import coldstart
 from jujubeyard.routing import config
 from jujubeyard.routing import match
+from jujubeyard.scheduling import balancing
 from jujubeyard.targets import loads
 from jujubeyard.targets import registry
 
--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -10,10 +10,10 @@
 from jujubeyard.node import owners
 from jujubeyard.node import settings
 from jujubeyard.routing import admission
-from jujubeyard.routing import balancing
 from jujubeyard.routing import bounds
 from jujubeyard.routing import coldstart
 from jujubeyard.routing import config
+from jujubeyard.scheduling import balancing
 from jujubeyard.targets import loads
 from jujubeyard.targets import registry
 
--- /dev/null
+++ b/src/jujubeyard/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Schedules calls over targets by work, room and deadlines."""
--- a/src/jujubeyard/routing/balancing.py
+++ b/src/jujubeyard/scheduling/balancing.py
@@ -1,8 +1,11 @@
 """Balances calls without a key over the targets of a service."""
 
 import collections.abc
+import dataclasses
 import random
 
+from jujubeyard.scheduling import finish
+from jujubeyard.scheduling import work
 from jujubeyard.targets import registry
 
 CROSS_ZONE_SECONDS = 0.01
@@ -14,6 +17,18 @@
 FAILURE_SECONDS = 1.0
 """Cost added to a target whose calls all fail; less in proportion."""
 
+MEAN_UTILIZATION_FACTOR = 0.25
+"""Share by which a call of mean work counts more at a target without a free
+slot; less in proportion."""
+
+UTILIZATION_FACTOR = 1.0
+"""The same for a call of known work: it delays those that come after it, the
+more the longer it runs and the fewer slots are free."""
+
+WAIT_FACTOR = 2.0
+"""Weight of the wait of a call of known work: a queue that it joins is one that
+the calls after it wait in as well."""
+
 MIN_COMPARED = 3
 MAX_COMPARED = 16
 """Bounds on the number of targets compared for a call. If there are more
@@ -28,12 +43,49 @@
 same data choose different targets."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallWork:
+    """The work of a call, as far as it is known before the call is sent.
+
+    Attributes:
+        model: Model of the speeds of targets.
+        estimate: Estimated work of the call.
+        node_count: Number of nodes that choose targets.
+    """
+
+    model: work.WorkModel
+    estimate: work.WorkEstimate
+    node_count: int
+
+    def expect_times(
+        self, target: registry.Target, now: float
+    ) -> finish.ExpectedTimes:
+        """Returns what is expected of the call at a target.
+
+        Args:
+            target: The target.
+            now: Monotonic time, in seconds.
+        """
+        slowdown = self.model.slowdown(
+            target.listing.service, target.load.speed
+        )
+        return finish.expect_times(
+            target.load,
+            target.listing.slots,
+            slowdown,
+            self.estimate,
+            now,
+            self.node_count,
+        )
+
+
 def choose_target(
     candidates: collections.abc.Sequence[registry.Target],
     zone: str,
     node_count: int,
     now: float,
     rng: random.Random,
+    call_work: CallWork | None = None,
 ) -> registry.Target | None:
     """Returns the target with the lowest estimated cost, if there is any.
 
@@ -47,6 +99,8 @@
         node_count: Number of nodes that choose targets.
         now: Monotonic time, in seconds.
         rng: Source of the sample and the jitter.
+        call_work: Work of the call; None while too little is known, so that
+            the call counts as one of mean work.
     """
     if not candidates:
         return None
@@ -61,23 +115,36 @@
     return min(
         compared,
         key=lambda target: (
-            estimate_cost(target, zone, now)
+            estimate_cost(target, zone, now, call_work)
             * (1.0 + COST_JITTER * rng.random())
         ),
     )
 
 
-def estimate_cost(target: registry.Target, zone: str, now: float) -> float:
+def estimate_cost(
+    target: registry.Target,
+    zone: str,
+    now: float,
+    call_work: CallWork | None = None,
+) -> float:
     """Returns the estimated cost of sending a call to a target, in seconds.
 
     Args:
         target: The target.
         zone: Availability zone of this node.
         now: Monotonic time, in seconds.
+        call_work: Work of the call; None for one of mean work. It counts only
+            at targets that tell their load.
     """
-    cost = target.load.expected_seconds(target.listing.slots, now)
-    utilization = target.load.estimate_calls(now) / max(target.listing.slots, 1)
-    cost *= 1.0 + 0.25 * min(utilization, 1.0)
+    if call_work is None or target.load.report is None:
+        cost = target.load.expected_seconds(target.listing.slots, now)
+        slots = max(target.listing.slots, 1)
+        utilization = min(target.load.estimate_calls(now) / slots, 1.0)
+        cost *= 1.0 + MEAN_UTILIZATION_FACTOR * utilization
+    else:
+        times = call_work.expect_times(target, now)
+        cost = times.processing * (1.0 + UTILIZATION_FACTOR * times.utilization)
+        cost = times.slowness * (cost + WAIT_FACTOR * times.wait)
     cost += FAILURE_SECONDS * target.load.failure_rate
     if target.listing.zone != zone:
         cost += CROSS_ZONE_SECONDS
--- a/src/jujubeyard/targets/loads.py
+++ b/src/jujubeyard/targets/loads.py
@@ -6,6 +6,10 @@
 
 import dataclasses
 
+from jujubeyard.scheduling import backlog
+from jujubeyard.scheduling import means
+from jujubeyard.scheduling import work as work_model
+
 REPORT_HALF_LIFE_SECONDS = 0.4
 """Age at which a load report has half its weight."""
 
@@ -23,6 +27,14 @@
 MAX_ROUTES = 10_000
 """Largest number of routes whose work is kept."""
 
+PRIOR_IN_FLIGHT = 0.5
+"""Weight of the usual number of calls, in calls, against the number that this
+node has sent, when the calls of other nodes are inferred."""
+
+MAX_USUAL_OTHERS = 100
+"""Largest number of other nodes' calls that is believed of a report when it is
+averaged with those of other targets."""
+
 FAILURE_SMOOTHING = 0.2
 INITIAL_WORK_SECONDS = 0.15
 
@@ -59,35 +71,14 @@
     age_seconds: float
 
 
-@dataclasses.dataclass(slots=True)
-class DecayingMean:
-    """Mean processing time of calls, with exponentially decaying weights.
-
-    Attributes:
-        decay: Factor that each new call applies to the weight of earlier ones.
-        weight: Sum of the weights of all calls.
-        weighted_seconds: Weighted sum of their processing times.
-    """
-
-    decay: float
-    weight: float = 0.0
-    weighted_seconds: float = 0.0
-
-    def observe(self, seconds: float) -> None:
-        """Adds the processing time of a call."""
-        self.weight = self.weight * self.decay + 1.0
-        self.weighted_seconds = self.weighted_seconds * self.decay + seconds
-
-    def mean(self) -> float:
-        """Returns the mean processing time, in seconds."""
-        if not self.weight:
-            return INITIAL_WORK_SECONDS
-        return self.weighted_seconds / self.weight
+def make_service_mean() -> means.DecayingMean:
+    """Returns an empty mean for all targets of a service."""
+    return means.DecayingMean(SERVICE_DECAY, INITIAL_WORK_SECONDS)
 
 
-def make_service_mean() -> DecayingMean:
-    """Returns an empty mean for all targets of a service."""
-    return DecayingMean(SERVICE_DECAY)
+def make_usual_others() -> means.DecayingMean:
+    """Returns an empty mean of other nodes' calls at a service's targets."""
+    return means.DecayingMean(SERVICE_DECAY, 0.0)
 
 
 class RouteWork:
@@ -98,7 +89,7 @@
     """
 
     def __init__(self):
-        self._means: dict[tuple[str, str], DecayingMean] = {}
+        self._means: dict[tuple[str, str], means.DecayingMean] = {}
 
     def observe(self, service: str, route: str, seconds: float) -> None:
         """Adds the processing time of a call."""
@@ -141,6 +132,10 @@
         in_flight_at_report: Value of `in_flight` when `report` was applied.
         service_work: Processing times at all targets of the service.
         work: Processing times at this target.
+        usual_others: Calls of other nodes in the reports of all targets of the
+            service.
+        speed: Ratios of processing times at this target to estimated work.
+        pending: The calls in flight with their estimated work.
         failure_rate: Smoothed share of calls that failed.
         unreachable_until: Time before which no new connection is tried.
         paused_until: Time before which the target wants no requests.
@@ -154,11 +149,22 @@
     reported_at: float = 0.0
     own_report_at: float = 0.0
     in_flight_at_report: int = 0
-    service_work: DecayingMean = dataclasses.field(
+    service_work: means.DecayingMean = dataclasses.field(
         default_factory=make_service_mean
     )
-    work: DecayingMean = dataclasses.field(
-        default_factory=lambda: DecayingMean(TARGET_DECAY)
+    work: means.DecayingMean = dataclasses.field(
+        default_factory=lambda: means.DecayingMean(
+            TARGET_DECAY, INITIAL_WORK_SECONDS
+        )
+    )
+    usual_others: means.DecayingMean = dataclasses.field(
+        default_factory=make_usual_others
+    )
+    speed: means.DecayingMean = dataclasses.field(
+        default_factory=work_model.make_speed
+    )
+    pending: backlog.Backlog = dataclasses.field(
+        default_factory=backlog.Backlog
     )
     failure_rate: float = 0.0
     avoid_until: float = 0.0
@@ -183,6 +189,8 @@
         self.report = report
         self.reported_at = received_at
         self.in_flight_at_report = self.in_flight
+        others = min(self._reported_others(), MAX_USUAL_OTHERS)
+        self.usual_others.observe(others)
 
     def observe_success(self, seconds: float, queue_ratio: float) -> float:
         """Records a call that succeeded.
@@ -224,18 +232,52 @@
     def estimate_calls(self, now: float) -> float:
         """Returns the estimated number of calls at the target.
 
-        Calls of this node are counted exactly. Calls of other nodes are
-        derived from the latest report, whose weight decays with its age. The
-        report includes the call whose answer carried it; that call has ended
-        and is subtracted.
+        Calls of this node are counted exactly.
+        """
+        return self.in_flight + self.estimate_others(now)
+
+    def estimate_others(self, now: float) -> float:
+        """Returns the estimated number of other nodes' calls at the target.
+
+        It is derived from the latest report, whose weight decays with its age.
+        The report includes the call whose answer carried it; that call has
+        ended and is subtracted.
         """
         if self.report is None:
-            return float(self.in_flight)
+            return 0.0
+        return self.report_weight(now) * self._reported_others()
+
+    def expect_others(self, now: float, node_count: int) -> float:
+        """Returns the expected number of other nodes' calls at the target.
+
+        As the latest report grows old, this tends to what each of the other
+        nodes is likely to have sent: what reports of the service's targets
+        usually say, corrected by what this node has sent to this one, as all
+        nodes choose alike.
+
+        Args:
+            now: Monotonic time, in seconds.
+            node_count: Number of nodes that choose targets.
+        """
+        unknown = 1.0 - self.report_weight(now)
+        usual = self.usual_others.mean()
+        if usual <= 0.0 or node_count < 2:
+            return self.estimate_others(now)
+        usual_by_node = usual / (node_count - 1)
+        alike = usual * (PRIOR_IN_FLIGHT + self.in_flight)
+        alike /= PRIOR_IN_FLIGHT + usual_by_node
+        return self.estimate_others(now) + unknown * alike
+
+    def report_weight(self, now: float) -> float:
+        """Returns the weight of the latest report, from 0.0 to 1.0."""
+        if self.report is None:
+            return 0.0
         age = max(0.0, now - self.reported_at)
-        weight = 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
+        return 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
+
+    def _reported_others(self) -> int:
         reported = self.report.running + self.report.waiting
-        others = max(0, reported - 1 - self.in_flight_at_report)
-        return self.in_flight + weight * others
+        return max(0, reported - 1 - self.in_flight_at_report)
 
     def queue_ratio(self, slots: int, now: float) -> float:
         """Returns the queue length before one more call, divided by the slots.
@@ -265,7 +307,4 @@
         The mean of a few calls is unreliable when durations vary widely, so it
         is averaged with the mean of the service.
         """
-        seconds = (
-            self.work.weighted_seconds + PRIOR_CALLS * self.service_work.mean()
-        )
-        return seconds / (self.work.weight + PRIOR_CALLS)
+        return self.work.shrunk_mean(self.service_work.mean(), PRIOR_CALLS)
--- a/src/jujubeyard/targets/registry.py
+++ b/src/jujubeyard/targets/registry.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from jujubeyard.scheduling import means
 from jujubeyard.targets import loads
 from jujubeyard.targets import notices
 
@@ -119,7 +120,8 @@
         self.targets: dict[str, Target] = {}
         self.evacuated_since: dict[str, float] = {}
         self.version = 0
-        self._service_means: dict[str, loads.DecayingMean] = {}
+        self._service_means: dict[str, means.DecayingMean] = {}
+        self._usual_others: dict[str, means.DecayingMean] = {}
         self._by_service: dict[str, list[Target]] = {}
         self._indexed_version = -1
         self._store_recovered_at = float("-inf")
@@ -155,7 +157,8 @@
         )
         if target is None or is_new_incarnation:
             load = loads.TargetLoad(
-                service_work=self._service_mean(listing.service)
+                service_work=self._service_mean(listing.service),
+                usual_others=self._usual_others_mean(listing.service),
             )
             target = Target(listing, now, load=load)
             self.targets[listing.target_id] = target
@@ -168,12 +171,18 @@
             target.draining_since = now if changed_at is None else changed_at
         return is_new_incarnation
 
-    def _service_mean(self, service: str) -> loads.DecayingMean:
+    def _service_mean(self, service: str) -> means.DecayingMean:
         mean = self._service_means.get(service)
         if mean is None:
             mean = self._service_means[service] = loads.make_service_mean()
         return mean
 
+    def _usual_others_mean(self, service: str) -> means.DecayingMean:
+        mean = self._usual_others.get(service)
+        if mean is None:
+            mean = self._usual_others[service] = loads.make_usual_others()
+        return mean
+
     def remove(
         self, target_id: str, now: float, changed_at: float | None = None
     ) -> None:
