Send calls without a key where their own work ends first

Callers saw: a call of 1 s and one of 0.05 s were compared alike at each target, with the mean of whatever the target served last; a target that had served the cheap calls looked fast.

Change: the node estimates the work of each call, passes it to the choice of a target, keeps the backlog of each target in step with the attempts (also failed and cancelled ones), and teaches the model with each answer. The line of an answered call bears expected and observed work; jujubeyard_work_ratio and jujubeyard_work_groups are new.

--- a/src/jujubeyard/node/attempts.py
+++ b/src/jujubeyard/node/attempts.py
@@ -6,6 +6,8 @@
 from jujubeyard import codes
 from jujubeyard.node import calls
 from jujubeyard.routing import config
+from jujubeyard.scheduling import tracking
+from jujubeyard.scheduling import work
 
 MIN_REMAINING_SECONDS = 0.03
 """Remaining time below which a call isn't sent to a target any more."""
@@ -29,6 +31,8 @@
         fence: Fence of the grant by which the key's owner holds its shard.
         queue_ratio: Value of `TargetLoad.queue_ratio()` for the target of the
             latest attempt, when the call was sent.
+        sent: Estimated and observed work of the latest attempt; None before
+            the first one.
         latest_code: Result code of the latest attempt.
         retry_after: When the caller should retry if the call is refused, in
             seconds.
@@ -43,6 +47,7 @@
     may_have_run: bool = False
     fence: int = 0
     queue_ratio: float = 0.0
+    sent: tracking.SentCall | None = None
     latest_code: codes.ResultCode = codes.ResultCode.NO_TARGET
     retry_after: float = NO_TARGET_RETRY_SECONDS
 
@@ -51,6 +56,16 @@
         """Whether only the owner of the call's key may serve it."""
         return self.service.keyed and self.call.key is not None
 
+    def traits(self) -> work.CallTraits:
+        """Returns what tells the work of the call before it is sent."""
+        return work.CallTraits(
+            self.service.name,
+            self.route.name,
+            self.call.path.partition("?")[0],
+            len(self.call.body),
+            self.call.key if self.is_keyed else None,
+        )
+
     def remaining_seconds(self) -> float:
         """Returns the time until the deadline, in seconds."""
         return self.deadline - time.monotonic()
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -193,6 +193,7 @@
         self._selector.record_call(target, now)
         state.tried_targets.append(target_id)
         state.queue_ratio = target.load.queue_ratio(target.listing.slots, now)
+        self._selector.begin_work(state, target, now)
         target.load.in_flight += 1
         try:
             result = await self._client.send(
@@ -200,6 +201,7 @@
             )
         finally:
             target.load.in_flight -= 1
+            self._selector.work.end(state.sent, target)
         return self._process_result(state, target, result, now)
 
     def _make_outgoing_call(self, state, target) -> upstream.OutgoingCall:
@@ -332,6 +334,11 @@
         """
         work_seconds = target.load.observe_success(seconds, state.queue_ratio)
         self._selector.record_work(state, work_seconds)
+        tracker = self._selector.work
+        tracker.observe(state.sent, target, seconds, time.monotonic())
+        self._metrics.observe_work(
+            state.service.name, state.sent, tracker.model.size()
+        )
         if state.is_keyed:
             meter = self._reporter.meter(state.service.name)
             meter.count_work(target.listing.target_id, work_seconds)
@@ -396,6 +403,7 @@
         """Counts and logs a reply."""
         seconds = time.monotonic() - state.call.received_at
         service = state.service.name
+        sent = state.sent
         self._metrics.count_call(service, reply.code, seconds)
         self._log.log_call(
             "call answered",
@@ -408,6 +416,8 @@
             code=int(reply.code),
             status=reply.status,
             seconds=round(seconds, 4),
+            work_expected=round(sent.expected_processing, 4) if sent else 0.0,
+            work_observed=round(sent.processing, 4) if sent else 0.0,
             retry_after=round(reply.retry_after, 3),
             version=self._view.routes.configuration.version,
         )
--- a/src/jujubeyard/node/metrics.py
+++ b/src/jujubeyard/node/metrics.py
@@ -4,6 +4,7 @@
 
 from jujubeyard import codes
 from jujubeyard.internal import labelled_metrics
+from jujubeyard.scheduling import tracking
 
 LATENCY_BUCKETS_SECONDS = (
     0.01,
@@ -20,6 +21,8 @@
     4.0,
 )
 
+WORK_RATIO_BUCKETS = (0.1, 0.25, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0, 10.0)
+
 
 class Metrics:
     """The metrics of a node process.
@@ -55,6 +58,20 @@
                 registry=self.registry,
             )
         )
+        self._work_ratio = labelled_metrics.LabelledMetric(
+            prometheus_client.Histogram(
+                "jujubeyard_work_ratio",
+                "Observed processing time of a call by the expected one.",
+                ["service"],
+                buckets=WORK_RATIO_BUCKETS,
+                registry=self.registry,
+            )
+        )
+        self._work_groups = prometheus_client.Gauge(
+            "jujubeyard_work_groups",
+            "Groups of similar calls whose work is kept.",
+            registry=self.registry,
+        )
 
     def count_call(
         self, service: str, code: codes.ResultCode, seconds: float
@@ -78,6 +95,21 @@
         """
         self._attempts.child(service, outcome).inc()
 
+    def observe_work(
+        self, service: str, sent: tracking.SentCall, groups: int
+    ) -> None:
+        """Records how well the work of an answered call was estimated.
+
+        Args:
+            service: Name of the service.
+            sent: The call.
+            groups: Number of groups of calls whose work is kept.
+        """
+        self._work_groups.set(groups)
+        if sent.expected_processing:
+            ratio = sent.processing / sent.expected_processing
+            self._work_ratio.child(service).observe(ratio)
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -14,6 +14,7 @@
 from jujubeyard.routing import coldstart
 from jujubeyard.routing import config
 from jujubeyard.scheduling import balancing
+from jujubeyard.scheduling import tracking
 from jujubeyard.targets import loads
 from jujubeyard.targets import registry
 
@@ -25,6 +26,7 @@
 
     Attributes:
         route_work: Processing times of calls by service and route.
+        work: Estimated work of calls and of what is left at targets.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         self._rng = random.Random()
         self._call_bounds = bounds.CallBounds()
         self.route_work = loads.RouteWork()
+        self.work = tracking.WorkTracker()
 
     def record_call(self, target: registry.Target, now: float) -> None:
         """Records that a call is being sent to a target.
@@ -66,6 +69,20 @@
         if target.is_cold(now):
             self._cold_start_limiter.record_call(target.listing.target_id, now)
 
+    def begin_work(
+        self, state: attempts.CallState, target: registry.Target, now: float
+    ) -> None:
+        """Adds a call that is being sent to a target to its backlog.
+
+        Args:
+            state: The call.
+            target: The target.
+            now: Monotonic time, in seconds.
+        """
+        state.sent = self.work.begin(
+            state.traits(), target, self._view.node_count(), now
+        )
+
     def record_work(self, state: attempts.CallState, seconds: float) -> None:
         """Records the processing time of a successful call, in seconds."""
         self.route_work.observe(state.service.name, state.route.name, seconds)
@@ -107,7 +124,12 @@
             and self._may_send_if_cold(state.service, target, now)
         ]
         target = balancing.choose_target(
-            candidates, self._cfg.zone, nodes, now, self._rng
+            candidates,
+            self._cfg.zone,
+            nodes,
+            now,
+            self._rng,
+            self.work.estimate(state.traits(), nodes),
         )
         if target is None and not state.tried_targets:
             state.latest_code = codes.ResultCode.NO_TARGET
--- a/src/jujubeyard/scheduling/balancing.py
+++ b/src/jujubeyard/scheduling/balancing.py
@@ -134,9 +134,9 @@
         zone: Availability zone of this node.
         now: Monotonic time, in seconds.
         call_work: Work of the call; None for one of mean work. It counts only
-            at targets that tell their load.
+            in services whose targets tell their load.
     """
-    if call_work is None or target.load.report is None:
+    if call_work is None or not target.load.usual_others.weight:
         cost = target.load.expected_seconds(target.listing.slots, now)
         slots = max(target.listing.slots, 1)
         utilization = min(target.load.estimate_calls(now) / slots, 1.0)
--- a/src/jujubeyard/scheduling/finish.py
+++ b/src/jujubeyard/scheduling/finish.py
@@ -84,33 +84,30 @@
     )
 
 
-def observe_duration(
-    model: work.WorkModel,
-    traits: work.CallTraits,
+def split_wait(
     load: loads.TargetLoad,
     expected: ExpectedTimes | None,
     duration: float,
     now: float,
-) -> None:
-    """Teaches a model how long a call took.
+) -> tuple[float, float]:
+    """Returns the processing time of a call at the target's usual speed.
 
     Args:
-        model: The model.
-        traits: The call.
-        load: Load of the target that served it.
+        load: Load of the target that served the call.
         expected: What was expected when the call was sent; None if nothing
             was known.
         duration: Time from sending the call to its answer, in seconds.
         now: Monotonic time, in seconds.
+
+    Returns:
+        The processing time in seconds, and the weight of this observation.
     """
     if expected is None:
-        model.observe(traits, load.speed, duration)
-        return
+        return duration, 1.0
     slowness = (expected.slowness + current_slowness(load, now)) / 2.0
-    seconds, weight = work.split_duration(
+    return work.split_duration(
         duration / slowness,
         expected.wait,
         expected.processing,
         expected.deviation,
     )
-    model.observe(traits, load.speed, seconds, weight)
--- a/tests/scheduling/playing.py
+++ b/tests/scheduling/playing.py
@@ -7,7 +7,7 @@
 import random
 
 from jujubeyard.scheduling import balancing
-from jujubeyard.scheduling import finish
+from jujubeyard.scheduling import tracking
 from jujubeyard.scheduling import work
 from jujubeyard.targets import loads
 from jujubeyard.targets import registry
@@ -95,7 +95,7 @@
     def __init__(self, servers: list[Server], rng: random.Random):
         self.servers = servers
         self.rng = rng
-        self.model = work.WorkModel()
+        self.tracker = tracking.WorkTracker()
         known = registry.Registry()
         for number in range(len(servers)):
             listing = registry.Listing(
@@ -105,39 +105,24 @@
         self.targets = known.service_targets(SERVICE)
 
     def call_work(self, call: PlayedCall) -> balancing.CallWork | None:
-        estimate = self.model.estimate(call.traits)
-        if estimate is None:
-            return None
-        return balancing.CallWork(self.model, estimate, NODES)
+        return self.tracker.estimate(call.traits, NODES)
 
     def send(self, number: int, call: PlayedCall) -> tuple:
         """Records that a call is sent; returns what ends it."""
-        load = self.targets[number].load
-        now = call.arrived_at
-        call_work = self.call_work(call)
-        ratio = load.queue_ratio(SLOTS, now)
-        load.in_flight += 1
-        if call_work is None:
-            return ratio, None, None
-        expected = call_work.expect_times(self.targets[number], now)
-        pending = load.pending.begin(expected.processing, expected.wait, now)
-        return ratio, expected, pending
+        target = self.targets[number]
+        ratio = target.load.queue_ratio(SLOTS, call.arrived_at)
+        sent = self.tracker.begin(call.traits, target, NODES, call.arrived_at)
+        target.load.in_flight += 1
+        return ratio, sent
 
     def end(self, number: int, call: PlayedCall, sent: tuple, now: float):
-        load = self.targets[number].load
-        ratio, expected, pending = sent
-        load.in_flight -= 1
-        if pending is not None:
-            load.pending.end(pending)
-        load.observe_success(now - call.arrived_at, ratio)
-        finish.observe_duration(
-            self.model,
-            call.traits,
-            load,
-            expected,
-            now - call.arrived_at,
-            now,
-        )
+        target = self.targets[number]
+        ratio, sent_call = sent
+        duration = now - call.arrived_at
+        target.load.in_flight -= 1
+        self.tracker.end(sent_call, target)
+        target.load.observe_success(duration, ratio)
+        self.tracker.observe(sent_call, target, duration, now)
 
 
 def by_chance(node: Node, call: PlayedCall) -> int:
--- a/tests/scheduling/test_choice.py
+++ b/tests/scheduling/test_choice.py
@@ -104,7 +104,7 @@
         factor = 4.0 if call.traits.path.endswith("one") else 0.25
         seconds = call_work.estimate.seconds * factor
         estimate = dataclasses.replace(call_work.estimate, seconds=seconds)
-        return balancing.CallWork(self.model, estimate, playing.NODES)
+        return dataclasses.replace(call_work, estimate=estimate)
 
 
 @pytest.mark.parametrize(
@@ -222,7 +222,7 @@
         seconds = 0.1
         if number % 4 == 0:
             cheap, seconds = playing.traits(path="/lookup/all"), 1.0
-        node.model.observe(cheap, playing.work.make_speed(), seconds)
+        node.tracker.model.observe(cheap, playing.work.make_speed(), seconds)
     targets = [
         _make_target(
             f"t{number}",
