--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -200,6 +200,7 @@
         self._selector.record_call(target, now)
         state.tried_targets.append(target_id)
         state.queue_ratio = target.load.queue_ratio(target.listing.slots, now)
+        self._selector.begin_work(state, target, now)
         target.load.in_flight += 1
         state.call.progress.is_known_not_run = False
         try:
@@ -208,6 +209,7 @@
             )
         finally:
             target.load.in_flight -= 1
+            self._selector.work.end(state.sent, target)
             self.waiting_room.tell_of_room(state.service.name, target_id)
         reply = self._process_result(state, target, result, now)
         state.call.progress.is_known_not_run = not state.may_have_run
@@ -345,6 +347,11 @@
         """
         work_seconds = target.load.observe_success(seconds, state.queue_ratio)
         self._selector.record_work(state, work_seconds)
+        tracker = self._selector.work
+        tracker.observe(state.sent, target, seconds, time.monotonic())
+        self._metrics.observe_work(
+            state.service.name, state.sent, tracker.model.size()
+        )
         if state.is_keyed:
             meter = self._reporter.meter(state.service.name)
             meter.count_work(target.listing.target_id, work_seconds)
@@ -424,6 +431,7 @@
         """Counts and logs a reply."""
         seconds = time.monotonic() - state.call.received_at
         service = state.service.name
+        sent = state.sent
         self._metrics.count_call(service, reply.code, seconds)
         self._log.log_call(
             "call answered",
@@ -436,6 +444,8 @@
             code=int(reply.code),
             status=reply.status,
             seconds=round(seconds, 4),
+            work_expected=round(sent.expected_processing, 4) if sent else 0.0,
+            work_observed=round(sent.processing, 4) if sent else 0.0,
             retry_after=round(reply.retry_after, 3),
             version=self._view.routes.configuration.version,
         )
--- a/src/jujubeyard/scheduling/__init__.py
+++ b/src/jujubeyard/scheduling/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions under load: room at targets, and who gets it and when."""
+"""Decisions under load: room at targets, who gets it, what calls cost."""
--- a/src/jujubeyard/targets/registry.py
+++ b/src/jujubeyard/targets/registry.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from jujubeyard.scheduling import capacity
+from jujubeyard.scheduling import means
 from jujubeyard.scheduling import queue_limits
 from jujubeyard.targets import loads
 from jujubeyard.targets import notices
@@ -123,7 +124,8 @@
         self.evacuated_since: dict[str, float] = {}
         self.version = 0
         self.queue_limits: dict[str, queue_limits.QueueLimit] = {}
-        self._service_means: dict[str, loads.DecayingMean] = {}
+        self._service_means: dict[str, means.DecayingMean] = {}
+        self._usual_others: dict[str, means.DecayingMean] = {}
         self._by_service: dict[str, list[Target]] = {}
         self._indexed_version = -1
         self._store_recovered_at = float("-inf")
@@ -163,6 +165,7 @@
                 room=capacity.Capacity(
                     listing.target_id, self.queue_limit(listing.service)
                 ),
+                usual_others=self._usual_others_mean(listing.service),
             )
             target = Target(listing, now, load=load)
             self.targets[listing.target_id] = target
@@ -175,7 +178,7 @@
             target.draining_since = now if changed_at is None else changed_at
         return is_new_incarnation
 
-    def _service_mean(self, service: str) -> loads.DecayingMean:
+    def _service_mean(self, service: str) -> means.DecayingMean:
         mean = self._service_means.get(service)
         if mean is None:
             mean = self._service_means[service] = loads.make_service_mean()
@@ -185,6 +188,12 @@
         """Returns what is known of the queues of a service's targets."""
         return self.queue_limits.setdefault(service, queue_limits.QueueLimit())
 
+    def _usual_others_mean(self, service: str) -> means.DecayingMean:
+        mean = self._usual_others.get(service)
+        if mean is None:
+            mean = self._usual_others[service] = loads.make_usual_others()
+        return mean
+
     def remove(
         self, target_id: str, now: float, changed_at: float | None = None
     ) -> None:
