Pace a node's first calls for an owner, too

With 60 nodes these first calls alone are more than fit.

The share now starts from the latest report.

--- a/src/jujubeyard/scheduling/pacing.py
+++ b/src/jujubeyard/scheduling/pacing.py
@@ -82,11 +82,21 @@
     lag_seconds: float = 0.0
     reported_at: float = 0.0
 
-    def set_level(self, level: QueueLevel | None) -> None:
-        """Sets the queue to aim for; None if calls aren't to be paced."""
+    def set_level(self, level: QueueLevel | None, waiting: float) -> None:
+        """Sets the queue to aim for.
+
+        Args:
+            level: The queue; None if calls aren't to be paced.
+            waiting: Latest reported number of waiting calls. It counts if no
+                queue was aimed for yet: a node's first calls for a target
+                come together with those of others.
+        """
+        was_paced = self.level is not None
         self.level = level
         if level is None:
             self.integral = self.exponent = 0.0
+        elif not was_paced:
+            self._set_exponent(self._proportional(waiting))
 
     def observe_queue(
         self, waiting: float, reported_at: float, now: float
@@ -110,18 +120,24 @@
         self.lag_seconds += LAG_SMOOTHING * (lag - self.lag_seconds)
         if self.level is None:
             return
+        proportional = self._proportional(waiting)
+        step = min(elapsed, max(MIN_STEP_SECONDS, self.lag_seconds))
+        self.integral *= remaining * math.exp(-step / LEAK_SECONDS)
+        self.integral += proportional * step / INTEGRAL_SECONDS
+        self.integral = min(max(self.integral, 0.0), MAX_EXPONENT)
+        self._set_exponent(proportional + self.integral)
+
+    def _proportional(self, waiting: float) -> float:
+        """Returns the proportional part of the exponent."""
         response = min(
             max(MIN_RESPONSE_SECONDS, RESPONSE_PER_LAG * self.lag_seconds),
             MAX_RESPONSE_SECONDS,
         )
         counted = min(waiting, MAX_RELATIVE_QUEUE * self.level.waiting)
         excess = (counted - self.level.waiting) * self.level.seconds_per_call
-        proportional = excess / response
-        step = min(elapsed, max(MIN_STEP_SECONDS, self.lag_seconds))
-        self.integral *= remaining * math.exp(-step / LEAK_SECONDS)
-        self.integral += proportional * step / INTEGRAL_SECONDS
-        self.integral = min(max(self.integral, 0.0), MAX_EXPONENT)
-        exponent = proportional + self.integral
+        return excess / response
+
+    def _set_exponent(self, exponent: float) -> None:
         self.exponent = min(max(exponent, 0.0), MAX_EXPONENT)
 
     def share(self, now: float) -> float:
--- a/src/jujubeyard/scheduling/room.py
+++ b/src/jujubeyard/scheduling/room.py
@@ -13,7 +13,7 @@
 from jujubeyard.scheduling import pacing
 from jujubeyard.scheduling import thinning
 
-LIMIT_SHARE = 0.5
+LIMIT_SHARE = 0.4
 """Part of the limit that the queue is steered to. What nodes send until they
 learn of a longer queue has to fit into the remainder."""
 
@@ -103,7 +103,7 @@
             now: Monotonic time, in seconds.
         """
         limit = room.limit.current(now)
-        _set_level(room.controller, limit, call, seconds_per_call)
+        _set_level(room, limit, call, seconds_per_call)
         if limit is None:
             return ADMITTED
         return self._admit(call, room, limit, room.waiting, now)
@@ -128,7 +128,7 @@
             self._pooled.pop(call.service, None)
             return ADMITTED
         pool = self._pooled.setdefault(call.service, capacity.Capacity())
-        _set_level(pool.controller, limit, call, seconds_per_call)
+        _set_level(pool, limit, call, seconds_per_call)
         if now - pool.waiting_at >= UPDATE_SECONDS:
             pool.waiting = statistics.fmean(
                 room.recent_waiting(now) for room in rooms
@@ -172,15 +172,16 @@
 
 
 def _set_level(
-    controller: pacing.ShareController,
+    room: capacity.Capacity,
     limit: float | None,
     call: PacedCall,
     seconds_per_call: float,
 ) -> None:
-    """Sets the queue that a controller aims for."""
+    """Sets the queue that is aimed for at a target."""
     if limit is None:
-        controller.set_level(None)
+        room.controller.set_level(None, room.waiting)
         return
     by_objective = OBJECTIVE_SHARE * call.bound_seconds / seconds_per_call
     waiting = max(min(LIMIT_SHARE * limit, by_objective), MIN_WAITING)
-    controller.set_level(pacing.QueueLevel(waiting, seconds_per_call))
+    level = pacing.QueueLevel(waiting, seconds_per_call)
+    room.controller.set_level(level, room.waiting)
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -118,8 +118,17 @@
 
 def test_a_share_recovers_when_reports_stop():
     controller = pacing.ShareController()
-    controller.set_level(pacing.QueueLevel(6.0, 0.1))
+    controller.set_level(pacing.QueueLevel(6.0, 0.1), 0.0)
     for step in range(1, 20):
         controller.observe_queue(16, 0.4 * step, 0.4 * step)
     assert controller.share(8.0) < 0.2
     assert controller.share(20.0) > 0.9
+
+
+def test_the_first_call_for_a_full_target_is_paced_by_the_latest_report():
+    controller = pacing.ShareController()
+    for step in range(1, 5):
+        controller.observe_queue(16, 0.1 * step, 0.1 * step)
+    assert controller.share(0.5) == 1.0
+    controller.set_level(pacing.QueueLevel(6.0, 0.1), 16.0)
+    assert controller.share(0.5) < 0.2
