Say in the log why a waiting call found no room

An operator who follows a call that was refused under pressure needs the target, the estimate, the bound and the age of the report; the line at the end of the wait has them, with the calls that went before it by route. Evidence: test_call_that_gets_no_room_is_refused_with_time_left.

--- a/src/jujubeyard/node/attempts.py
+++ b/src/jujubeyard/node/attempts.py
@@ -13,6 +13,23 @@
 NO_TARGET_RETRY_SECONDS = 0.4
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LackOfRoom:
+    """Why a target had no room for a call.
+
+    Attributes:
+        target_id: The target.
+        expected_seconds: Estimated duration of the call there.
+        bound_seconds: How long it may have taken.
+        report_age_seconds: Age of the target's latest load report.
+    """
+
+    target_id: str
+    expected_seconds: float
+    bound_seconds: float
+    report_age_seconds: float
+
+
 @dataclasses.dataclass(slots=True)
 class CallState:
     """The state of a call across the attempts to serve it.
@@ -34,6 +51,8 @@
             seconds.
         lacks_room: Whether the latest selection found targets, but none with
             room for the call.
+        lack: Why the latest target that was tried had no room, if the call may
+            wait.
         may_wait: Whether the call may wait at the node for room.
         rank: Number of priorities of the service that go before the call's.
     """
@@ -50,6 +69,7 @@
     latest_code: codes.ResultCode = codes.ResultCode.NO_TARGET
     retry_after: float = NO_TARGET_RETRY_SECONDS
     lacks_room: bool = False
+    lack: LackOfRoom | None = None
     may_wait: bool = False
     rank: int = 0
 
--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -201,6 +201,12 @@
                 expected_seconds, objective
             )
             if state.may_wait:
+                state.lack = attempts.LackOfRoom(
+                    target.listing.target_id,
+                    expected_seconds,
+                    bound,
+                    now - target.load.reported_at,
+                )
                 return False
             self._log.log_call(
                 "call refused, target overloaded",
--- a/src/jujubeyard/node/waiting_room.py
+++ b/src/jujubeyard/node/waiting_room.py
@@ -359,6 +359,7 @@
             urgency=waiter.urgency,
             seconds=round(seconds, 4),
             ahead=ahead,
+            **_describe_lack(state.lack),
             outcome=outcome,
             retry_after=round(state.retry_after, 3),
         )
@@ -381,3 +382,15 @@
             line.offer(now)
         if self._waiting_calls:
             self._schedule_check()
+
+
+def _describe_lack(lack: attempts.LackOfRoom | None) -> dict:
+    """Returns the fields of a log line on why a target had no room."""
+    if lack is None:
+        return {}
+    return {
+        "target": lack.target_id,
+        "expected": round(lack.expected_seconds, 3),
+        "bound": round(lack.bound_seconds, 3),
+        "report_age": round(lack.report_age_seconds, 3),
+    }
--- a/tests/node/test_waiting_room.py
+++ b/tests/node/test_waiting_room.py
@@ -9,6 +9,7 @@
 from jujubeyard.node import waiting_room
 from jujubeyard.routing import config
 from jujubeyard.routing import match
+from jujubeyard.scheduling import waiting
 from jujubeyard.targets import loads
 from tests.node import test_forward
 
@@ -89,6 +90,10 @@
     assert reply.status == 503
     assert reply.retry_after > 0.0
     assert asyncio.get_running_loop().time() - started_at < 0.6
+    (wait,) = find_waits(harness)
+    assert wait["outcome"] == waiting.Reason.TOO_LATE.value
+    assert wait["expected"] > wait["bound"]
+    assert wait["target"] == ("t1" if key is None else "t2")
     assert not harness.client.sent
 
 
