--- a/src/jujubeyard/node/waiting_room.py
+++ b/src/jujubeyard/node/waiting_room.py
@@ -64,6 +64,7 @@
     """A queue with the places of its calls.
 
     Attributes:
+        owner: ID of the target that the calls wait for; empty if any will do.
         queue: Decides about the calls.
         places: Places of the waiting calls.
         trying: The call whose turn it is.
@@ -71,7 +72,8 @@
             news of room.
     """
 
-    def __init__(self, queue: waiting.WaitingQueue):
+    def __init__(self, owner: str, queue: waiting.WaitingQueue):
+        self.owner = owner
         self.queue = queue
         self.places: dict[waiting.Waiter, _Place] = {}
         self.trying: waiting.Waiter | None = None
@@ -225,7 +227,7 @@
             route_shares = self._shares.setdefault(
                 service, shares.RouteShares()
             )
-            line = _Line(waiting.WaitingQueue(route_shares))
+            line = _Line(owner, waiting.WaitingQueue(route_shares))
             self._lines[service, owner] = line
         return line
 
@@ -282,7 +284,7 @@
                 self._end_turn(line, waiter)
         finally:
             self._leave(state, line, place, outcome)
-            self._log_wait(state, waiter, outcome, ahead)
+            self._log_wait(state, line.owner, waiter, outcome, ahead)
 
     def _join(
         self,
@@ -336,6 +338,7 @@
     def _log_wait(
         self,
         state: attempts.CallState,
+        owner: str,
         waiter: waiting.Waiter,
         outcome: str,
         ahead: dict[str, int],
@@ -344,6 +347,7 @@
 
         Args:
             state: The call.
+            owner: The target that it waited for; empty if any would do.
             waiter: The call, as its queue knew it.
             outcome: How its wait ended.
             ahead: Number of calls that went before it, by route.
@@ -357,6 +361,7 @@
             service=service,
             route=waiter.route,
             urgency=waiter.urgency,
+            owner=owner,
             seconds=round(seconds, 4),
             ahead=ahead,
             **_describe_lack(state.lack),
--- a/tests/node/test_waiting_room.py
+++ b/tests/node/test_waiting_room.py
@@ -94,6 +94,7 @@
     assert wait["outcome"] == waiting.Reason.TOO_LATE.value
     assert wait["expected"] > wait["bound"]
     assert wait["target"] == ("t1" if key is None else "t2")
+    assert wait["owner"] == ("" if key is None else "t2")
     assert not harness.client.sent
 
 
