--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -311,6 +311,12 @@
                 return False
             self._metrics.count_lacking_room(service.name, paced.urgency)
             if state.may_wait:
+                state.lack = attempts.LackOfRoom(
+                    target.listing.target_id,
+                    expected_seconds,
+                    bound,
+                    now - target.load.reported_at,
+                )
                 return False
             self._log.log_call(
                 "call refused, target overloaded",
