Know the route kind upload, which never runs twice

What callers saw: on a deployment with one route of kind upload no call was answered but with 503: every node threw the whole configuration away as malformed ("malformed store item ignored") and so had no route.

Cause: the table of kinds didn't have it, and an unknown kind made the whole document unreadable.

Change: upload is a kind whose calls aren't idempotent, as unsafe is.

Evidence: the new case of test_kind_of_a_route_says_whether_its_calls_are_ idempotent failed before ("KeyError: 'upload'") and passes now; tests/platform passes whole.

--- a/src/jujubeyard/platform/documents.py
+++ b/src/jujubeyard/platform/documents.py
@@ -16,7 +16,12 @@
 EVACUATION_PREFIX = OPERATOR_PREFIX + "evacuate/"
 TARGET_PREFIX = "servers/"
 
-IDEMPOTENT_BY_KIND = {"safe": True, "download": True, "unsafe": False}
+IDEMPOTENT_BY_KIND = {
+    "safe": True,
+    "download": True,
+    "unsafe": False,
+    "upload": False,
+}
 """Whether calls of a route are idempotent, by the kind of the route."""
 
 DRAINING_BY_STATE = {"ready": False, "draining": True}
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -191,6 +191,19 @@
     assert parsed.max_body_bytes == 67108864
 
 
+@pytest.mark.parametrize(
+    ("kind", "idempotent"),
+    [("safe", True), ("download", True), ("unsafe", False), ("upload", False)],
+)
+def test_kind_of_a_route_says_whether_its_calls_are_idempotent(
+    kind, idempotent
+):
+    path = ["routes", "rows", 0, 3]
+    body = _encode_with(path, kind, CONFIGURATION)
+    (route,) = documents.parse_configuration(body).routes
+    assert route.idempotent is idempotent
+
+
 @pytest.mark.parametrize(
     ("path", "value"),
     [
