Keep the readable entries of a configuration in force

What callers saw: one entry that a node couldn't read (a kind of route of a later version, a missing field, a field of another type, a route to a service that isn't there) made it reject the whole configuration. A node that had none before answered every call with 503; the others stayed on the version before, past the time within which a version has to apply.

Cause: the parser raised at the first error, whatever it concerned.

Change: platform/configurations.py (taken out of platform/documents.py) reads entry by entry and gathers all errors with their place, what was expected and what was found (config.EntryError). Entries that can be read are in force under the version of the document; a document whose version or lists can't be read is rejected as before. A route that can't be read keeps its place by host and prefix: its calls get 503 (220) with Retry-After, no shorter prefix stands in for it and it isn't denied with 404. Where its prefix or host can't be read, calls that match no other route get 503 instead of 404.

--- a/src/jujubeyard/codes.py
+++ b/src/jujubeyard/codes.py
@@ -120,7 +120,7 @@
         503, True, "No link to the gate; the call was not handed over."
     ),
     ResultCode.NOT_CONFIGURED: CodeInfo(
-        503, True, "The process has not received the current configuration yet."
+        503, True, "The process has no current configuration for the call yet."
     ),
     ResultCode.OUTCOME_UNKNOWN: CodeInfo(
         502, False, "The call was sent and may or may not have run."
--- a/src/jujubeyard/node/cluster_view.py
+++ b/src/jujubeyard/node/cluster_view.py
@@ -1,6 +1,7 @@
 """A node's view of the cluster: routes, targets, key owners, other nodes."""
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
 import functools
@@ -10,6 +11,7 @@
 from jujubeyard.node import journal
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import table
+from jujubeyard.routing import config
 from jujubeyard.routing import match
 from jujubeyard.store import changes
 from jujubeyard.store import interface
@@ -17,6 +19,9 @@
 
 NODES_PREFIX = "nodes/"
 
+MAX_UNREADABLE_LINES = 20
+"""Largest number of log lines on unreadable entries of one configuration."""
+
 Decoder = collections.abc.Callable[[interface.Item], changes.Change]
 
 
@@ -77,6 +82,31 @@
         """Returns the number of listed nodes, but at least one."""
         return max(1, len(self.nodes))
 
+    def count_unreadable(self) -> collections.Counter[config.EntryKind]:
+        """Returns how many entries in force can't be read, by their kind."""
+        if self.routes is None:
+            return collections.Counter()
+        errors_found = self.routes.configuration.errors
+        entries = {(error.kind, error.name) for error in errors_found}
+        return collections.Counter(kind for kind, _ in entries)
+
+    def _log_unreadable(self, configuration: config.Configuration) -> None:
+        """Logs the first error of each entry that can't be read."""
+        first_errors = {}
+        for error in configuration.errors:
+            first_errors.setdefault((error.kind, error.name), error)
+        logged = list(first_errors.values())[:MAX_UNREADABLE_LINES]
+        for error in logged:
+            self._log.log_event(
+                "configuration entry not readable",
+                version=configuration.version,
+                kind=error.kind.value,
+                entry=error.name,
+                field=error.field,
+                expected=error.expected,
+                found=error.found,
+            )
+
     def table_key(self, service: str) -> str:
         """Returns the store key of a service's shard table."""
         return self.prefixes.tables + service
@@ -207,7 +237,9 @@
             version=configuration.version,
             before=before,
             routes=len(configuration.routes),
+            unreadable=sum(self.count_unreadable().values()),
         )
+        self._log_unreadable(configuration)
 
     @_apply.register
     def _(self, change: changes.ZoneChanged) -> None:
--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -152,6 +152,7 @@
             decoder.change_for_malformed_item,
             log,
         )
+        self._metrics.watch_unreadable(self._view.count_unreadable)
         self._store_session = connections.make_session(
             header_names.call_id, force_close=False
         )
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -17,6 +17,7 @@
 from jujubeyard.node import settings
 from jujubeyard.node import upstream
 from jujubeyard.routing import admission
+from jujubeyard.routing import config
 from jujubeyard.routing import retries
 from jujubeyard.routing import split
 from jujubeyard.targets import loads
@@ -112,8 +113,8 @@
             )
         path = call.path.partition("?")[0]
         route = self._view.routes.find(call.host, path)
-        if route is None:
-            return self._reply_without_route(call, path)
+        if not isinstance(route, config.Route):
+            return self._reply_without_route(call, path, route)
         configuration = self._view.routes.configuration
         if len(call.body) > configuration.max_body_bytes:
             return calls.make_error_reply(codes.ResultCode.BODY_TOO_LARGE)
@@ -134,15 +135,30 @@
             return False
         path = call.path.partition("?")[0]
         route = self._view.routes.find(call.host, path)
-        return route is not None and route.idempotent
+        return isinstance(route, config.Route) and route.idempotent
 
-    def _reply_without_route(self, call: calls.Call, path: str) -> calls.Reply:
-        """Returns the reply to a call that matches no route.
+    def _reply_without_route(
+        self,
+        call: calls.Call,
+        path: str,
+        unreadable: config.UnreadableRoute | None,
+    ) -> calls.Reply:
+        """Returns the reply to a call that matches no readable route.
+
+        It is only denied if no configuration may have a route for it: a newer
+        one may be known but not read yet.
 
-        While a newer configuration is known but not read yet, it may have the
-        route.
+        Args:
+            call: The call.
+            path: Its path without the query.
+            unreadable: The route that it matches and that can't be read.
         """
         is_outdated = self._view.is_configuration_outdated()
+        may_be_allowed = (
+            unreadable is not None
+            or is_outdated
+            or self._view.routes.may_lack_route(call.host)
+        )
         self._log.log_call(
             "call matches no route",
             call=call.call_id,
@@ -150,8 +166,9 @@
             path=path,
             version=self._view.routes.configuration.version,
             outdated=is_outdated,
+            unreadable=unreadable.name if unreadable else "",
         )
-        if is_outdated:
+        if may_be_allowed:
             return calls.make_error_reply(
                 codes.ResultCode.NOT_CONFIGURED, NOT_CONFIGURED_RETRY_SECONDS
             )
--- a/src/jujubeyard/node/metrics.py
+++ b/src/jujubeyard/node/metrics.py
@@ -1,9 +1,13 @@
 """Prometheus metrics of a node."""
 
+import collections
+import collections.abc
+
 import prometheus_client
 
 from jujubeyard import codes
 from jujubeyard.internal import labelled_metrics
+from jujubeyard.routing import config
 
 LATENCY_BUCKETS_SECONDS = (
     0.01,
@@ -78,6 +82,28 @@
         """
         self._attempts.child(service, outcome).inc()
 
+    def watch_unreadable(
+        self,
+        count: collections.abc.Callable[
+            [], collections.Counter[config.EntryKind]
+        ],
+    ) -> None:
+        """Adds a gauge of the configuration's unreadable entries.
+
+        Args:
+            count: Returns how many entries in force can't be read, by kind.
+        """
+        gauge = prometheus_client.Gauge(
+            "jujubeyard_unreadable_entries",
+            "Entries of the configuration in force that can't be read.",
+            ["kind"],
+            registry=self.registry,
+        )
+        for kind in config.EntryKind:
+            gauge.labels(kind.value).set_function(
+                lambda kind=kind: count()[kind]
+            )
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/jujubeyard/platform/decoder.py
+++ b/src/jujubeyard/platform/decoder.py
@@ -1,5 +1,6 @@
 """Decodes items of the platform's store into changes for a node."""
 
+from jujubeyard.platform import configurations
 from jujubeyard.platform import documents
 from jujubeyard.store import changes
 from jujubeyard.store import interface
@@ -48,5 +49,5 @@
 def _decode_configuration(item: interface.Item) -> changes.Change:
     if item.value is None:
         return changes.UnknownItem(item.key)
-    configuration = documents.parse_configuration(item.value)
+    configuration = configurations.parse_configuration(item.value)
     return changes.ConfigurationChanged(configuration)
--- a/src/jujubeyard/routing/config.py
+++ b/src/jujubeyard/routing/config.py
@@ -1,6 +1,7 @@
 """The routing configuration that is in force on a node."""
 
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,18 +65,66 @@
     health_path: str
 
 
+class EntryKind(enum.Enum):
+    """What an entry of a configuration describes."""
+
+    ROUTE = "route"
+    SERVICE = "service"
+    LIMITS = "limits"
+    OTHER = "other"
+    """Something that this program doesn't know."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryError:
+    """Why an entry of a configuration can't be read.
+
+    Attributes:
+        kind: What the entry describes.
+        name: Name of the entry, or its position if the name can't be read.
+        field: The field in question; empty for the entry as a whole.
+        expected: What the field should be.
+        found: What it is, shortened.
+    """
+
+    kind: EntryKind
+    name: str
+    field: str
+    expected: str
+    found: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnreadableRoute:
+    """A route that can't be read, so that no service is known for its calls.
+
+    Attributes:
+        name: Name of the route, or its position if the name can't be read.
+        host: Host name that callers send; None if it can't be read.
+        prefix: Path prefix; None if it can't be read.
+    """
+
+    name: str
+    host: str | None
+    prefix: str | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
     """One version of the configuration.
 
     Attributes:
         version: Version number; newer versions have greater numbers.
-        routes: All routes.
-        services: All services by name.
+        routes: All routes that can be read.
+        services: All services that can be read, by name.
         max_body_bytes: Largest size of the body of a call.
+        unreadable_routes: Routes that can't be read.
+        errors: Why entries can't be read, in the order of the document.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     max_body_bytes: int
+    unreadable_routes: tuple[UnreadableRoute, ...] = ()
+    errors: tuple[EntryError, ...] = ()
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -444,6 +444,34 @@
     assert fresh == [False, True]
 
 
+@pytest.mark.parametrize(
+    ("unreadable", "path", "status"),
+    [
+        (("u", "a.example", "/read/"), "read", 503),
+        (("u", "a.example", "/read/1/"), "read/1", 503),
+        (("u", "a.example", "/read/2/"), "read", 200),
+        (("u", "a.example", None), "read", 200),
+        (("u", "a.example", None), "nowhere", 503),
+        (("u", "b.example", None), "nowhere", 404),
+        (("u", None, None), "nowhere", 503),
+    ],
+)
+async def test_call_of_an_unreadable_route_is_refused_and_not_denied(
+    harness, unreadable, path, status
+):
+    harness.view.routes = match.RouteTable(
+        config.Configuration(
+            2, ROUTES, SERVICES, 1000, (config.UnreadableRoute(*unreadable),)
+        )
+    )
+    harness.add_target("t1")
+    harness.client.script = [make_answer()]
+    reply = await harness.serve(path)
+    assert reply.status == status
+    assert len(harness.client.sent) == (status == 200)
+    assert (reply.retry_after > 0.0) is (status == 503)
+
+
 @pytest.mark.parametrize(("is_outdated", "status"), [(False, 404), (True, 503)])
 async def test_route_is_not_denied_while_a_newer_configuration_is_known(
     harness, is_outdated, status
--- a/tests/routing/test_routing_tables.py
+++ b/tests/routing/test_routing_tables.py
@@ -51,6 +51,36 @@
     assert (route.name if route else None) == name
 
 
+@pytest.mark.parametrize(
+    ("unreadable", "host", "path", "name", "may_lack_route"),
+    [
+        (("u", "a.example", "/x/"), "a.example", "/x/1", "u", False),
+        (("u", "A.example", "/x/y/"), "a.example", "/x/y/1", "u", False),
+        (("u", "a.example", "/x/y/"), "a.example", "/x/1", "root", False),
+        (("u", "a.example", None), "a.example:80", "/x/1", "root", True),
+        (("u", "a.example", None), "a.example", "/z/1", None, True),
+        (("u", "a.example", None), "b.example", "/z/1", None, False),
+        (("u", None, "/z/"), "b.example", "/z/1", None, True),
+        (("u", None, None), "b.example", "/z/1", None, True),
+    ],
+)
+def test_unreadable_route_is_matched_as_far_as_it_is_known(
+    unreadable, host, path, name, may_lack_route
+):
+    routes = match.RouteTable(
+        config.Configuration(
+            1,
+            (_route("root", "a.example", "/x/"),),
+            {},
+            10,
+            (config.UnreadableRoute(*unreadable),),
+        )
+    )
+    route = routes.find(host, path)
+    assert (route.name if route else None) == name
+    assert routes.may_lack_route(host) is may_lack_route
+
+
 @pytest.mark.parametrize("weights", [(90, 10), (1, 1, 1), (5, 3, 2)])
 def test_calls_follow_the_weights_after_any_number_of_calls(weights):
     names = "abc"[: len(weights)]
