Pass requests and answers on as they were sent

What callers and targets saw: an empty query lost its "?", a path with "#" was cut there, a target in absolute form got 404; repeated headers whose names were spelled differently lost all values but the last; bytes that aren't UTF-8 were dropped from values; known names were spelled anew; a header that Connection named was taken out even if it was Host or the call's ID; an answer with a header line of over 8,190 bytes was a broken one (502 or a second attempt). In answers, headers that Connection named were passed on, Server and Content-Type were added, and an answer to HEAD lost its length.

Cause: requests were sent through yarl and the header mapping of the HTTP library, and answers through its response class; each normalizes.

Change: heads.py writes the head of a request from its start line and fields, and that of an answer without additions but Date; fields are decoded from the bytes received, so that any bytes pass. node/passing.py has the choice of headers for both directions, which stood twice.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -11,6 +11,7 @@
 from aiohttp import client_proto
 
 from jujubeyard import bodies
+from jujubeyard import heads
 
 MIN_FINAL_STATUS = 200
 MIN_FAILURE_STATUS = 300
@@ -25,6 +26,11 @@
 """Largest size of what is received for a call beside bodies. Chunks of one byte
 each need far more processor time than a body of the same size."""
 
+MAX_FIELD_BYTES = 64 * 1024
+MAX_FIELDS = 4096
+"""Largest number of header fields of an answer, which the limit of framing
+bounds together."""
+
 PARSED_BYTES = 4096
 """Size of what is parsed at once."""
 
@@ -247,9 +253,13 @@
         options["keepalive_timeout"] = KEEPALIVE_TIMEOUT_SECONDS
     session = aiohttp.ClientSession(
         connector=Connector(call_id_header, **options),
+        request_class=heads.Request,
         response_class=Response,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        max_line_size=MAX_FIELD_BYTES,
+        max_field_size=MAX_FIELD_BYTES,
+        max_headers=MAX_FIELDS,
         skip_auto_headers=(
             "User-Agent",
             "Accept",
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -11,6 +11,7 @@
 from jujubeyard.node import journal
 from jujubeyard.node import metrics
 from jujubeyard.node import owners
+from jujubeyard.node import passing
 from jujubeyard.node import protocol
 from jujubeyard.node import reporting
 from jujubeyard.node import selection
@@ -24,21 +25,6 @@
 from jujubeyard.targets import notices
 from jujubeyard.targets import registry
 
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    }
-)
-"""Headers that apply to a single connection and aren't forwarded."""
-
 MISDIRECTED_STATUS = 421
 NOT_CONFIGURED_RETRY_SECONDS = 0.5
 REFUSED_AVOID_SECONDS = 0.15
@@ -93,10 +79,7 @@
         self._selector = selection.TargetSelector(
             cfg, view, self.owner_lookup, log
         )
-        self._router_headers = {
-            header_names.deadline.lower(),
-            header_names.expected_target.lower(),
-        }
+        self._header_filter = passing.HeaderFilter(header_names)
 
     async def serve(self, call: calls.Call) -> calls.Reply:
         """Forwards a call to a target and returns the reply to it.
@@ -225,14 +208,7 @@
         # A target's first answer to this call must not be read again.
         is_repeated = target.listing.target_id in state.contacted_targets
         state.contacted_targets.add(target.listing.target_id)
-        connection_options = _connection_options(call.headers)
-        headers = [
-            (name, text)
-            for name, text in call.headers
-            if name.lower() not in HOP_BY_HOP_HEADERS
-            and name.lower() not in self._router_headers
-            and name.lower() not in connection_options
-        ]
+        headers = self._header_filter.filter_request(call.headers)
         milliseconds = max(1, int(remaining * 1000))
         headers.append((self._header_names.deadline, str(milliseconds)))
         headers.append(
@@ -428,12 +404,3 @@
             retry_after=round(reply.retry_after, 3),
             version=self._view.routes.configuration.version,
         )
-
-
-def _connection_options(headers) -> set[str]:
-    """Returns the names that Connection headers list, in lower case."""
-    options = set()
-    for name, text in headers:
-        if name.lower() == "connection":
-            options.update(part.strip().lower() for part in text.split(","))
-    return options
--- a/src/jujubeyard/node/protocol.py
+++ b/src/jujubeyard/node/protocol.py
@@ -36,3 +36,7 @@
     handover: str
     leaving: str
     pause: str
+
+    def all(self) -> tuple[str, ...]:
+        """Returns all names."""
+        return dataclasses.astuple(self)
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -12,9 +12,11 @@
 from jujubeyard import codes
 from jujubeyard import durations
 from jujubeyard import fields
+from jujubeyard import heads
 from jujubeyard import responses
 from jujubeyard.node import calls
 from jujubeyard.node import journal
+from jujubeyard.node import passing
 from jujubeyard.node import pipelining
 from jujubeyard.node import protocol
 from jujubeyard.node import settings
@@ -35,20 +37,6 @@
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 HTTP_BAD_REQUEST = 400
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "transfer-encoding",
-        "content-length",
-        "te",
-        "trailer",
-        "upgrade",
-        "proxy-connection",
-    }
-)
-"""Headers of an answer that apply to a single connection and aren't passed
-on."""
 
 CallHandler = collections.abc.Callable[
     [calls.Call], collections.abc.Coroutine[None, None, calls.Reply]
@@ -82,6 +70,7 @@
         self._handle_call = handle_call
         self._log = log
         self._header_names = header_names
+        self._header_filter = passing.HeaderFilter(header_names)
         self.active = 0
         self.is_refusing_calls = False
         self._is_shutting_down = False
@@ -261,7 +250,7 @@
         """Returns the call in a request.
 
         Raises:
-            ValueError: The key is malformed.
+            ValueError: The key or a header is malformed.
         """
         header_names = self._header_names
         headers = message.headers
@@ -269,12 +258,17 @@
         key = None
         if key_header is not None:
             key = fields.parse_decimal(key_header, protocol.KEY_COUNT - 1)
+        passed_headers = heads.decode_fields(message.raw_headers)
+        stated_host = headers.get("Host", "")
+        host, path = heads.split_target(message.path, stated_host)
+        if host != stated_host:
+            passed_headers["Host"] = host
         return calls.Call(
             call_id=headers.get(header_names.call_id, ""),
             method=message.method,
-            host=headers.get("Host", ""),
-            path=message.path,
-            headers=tuple(headers.items()),
+            host=host,
+            path=path,
+            headers=tuple(passed_headers.items()),
             body=body,
             key=key,
             received_at=time.monotonic(),
@@ -290,16 +284,26 @@
         behind it that were begun already are answered as well.
         """
         if reply.headers:
-            resp = web.Response(status=reply.status, body=reply.body)
-            for name, text in reply.headers.items():
-                if name.lower() not in HOP_BY_HOP_HEADERS:
-                    resp.headers.add(name, text)
+            resp = self._make_passed_response(req, reply)
         else:
             resp = _make_error_response(reply)
         if self._is_shutting_down and not req.protocol.has_early_calls():
             resp.force_close()
         return resp
 
+    def _make_passed_response(
+        self, req: web.BaseRequest, reply: calls.Reply
+    ) -> web.Response:
+        """Returns the response that passes on a target's answer."""
+        resp = heads.Response(status=reply.status, body=reply.body)
+        headers = reply.headers.items()
+        for name, text in self._header_filter.filter_answer(headers):
+            resp.headers.add(name, text)
+        length = reply.headers.get("Content-Length")
+        if length is not None and req.method == "HEAD":
+            resp.headers["Content-Length"] = length
+        return resp
+
 
 def _is_idle(conn: web.RequestHandler) -> bool:
     """Returns whether a connection waits for its next request.
--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -9,6 +9,7 @@
 
 from jujubeyard import bodies
 from jujubeyard import connections
+from jujubeyard import heads
 from jujubeyard.node import protocol
 
 MAX_ANSWER_BYTES = 8 * bodies.MIB
@@ -91,6 +92,7 @@
     """Sends calls to targets over reused or new connections."""
 
     def __init__(self, header_names: protocol.HeaderNames):
+        self._call_id_header = header_names.call_id
         self._reusing_session = connections.make_session(
             header_names.call_id, force_close=False
         )
@@ -124,9 +126,9 @@
         try:
             async with session.request(
                 call.method,
-                yarl.URL(f"http://{call.address}{call.path}", encoded=True),
+                yarl.URL(f"http://{call.address}/"),
                 data=call.body or None,
-                headers=call.headers,
+                headers=self._make_headers(call),
                 timeout=timeout,
                 allow_redirects=False,
             ) as resp:
@@ -142,6 +144,16 @@
         except (aiohttp.ClientError, OSError, ValueError) as exc:
             return SendResult(SendOutcome.BROKEN, detail=repr(exc))
 
+    def _make_headers(self, call: OutgoingCall) -> dict[str, str]:
+        """Returns the head of a call as its caller sent it, and its ID."""
+        start_line = f"{call.method} {call.path} HTTP/1.1"
+        headers = {
+            heads.HEAD_FIELD: heads.format_head(start_line, call.headers)
+        }
+        if call.call_id:
+            headers[self._call_id_header] = call.call_id
+        return headers
+
 
 def _classify_answer(resp: connections.Response, body: bytes) -> SendResult:
     """Returns the result of an answer that was read to its end.
@@ -156,6 +168,7 @@
             SendOutcome.BROKEN,
             detail="connection reset before the end of the body",
         )
+    headers = heads.decode_fields(resp.raw_headers)
     return SendResult(
-        SendOutcome.ANSWERED, Answer(resp.status, resp.headers, body), ""
+        SendOutcome.ANSWERED, Answer(resp.status, headers, body), ""
     )
--- a/src/jujubeyard/responses.py
+++ b/src/jujubeyard/responses.py
@@ -106,7 +106,7 @@
         Returns:
             The response, for the server.
         """
-        body_bytes = resp.content_length or 0
+        body_bytes = 0 if req.method == "HEAD" else resp.content_length or 0
         if body_bytes <= LARGE_BODY_BYTES or req.transport is None:
             return resp
         self._make_room(body_bytes)
