Check a configuration before it is sent

What operators saw: a configuration could only be tried by sending it. That a route could never match, that its limits contradict each other or that calls lose their route showed on the nodes.

Change: `jujubeyard check FILE` takes a configuration of the platform as well as a manifest; a file that begins with "{" is one, which no manifest does, so that one name fits both and what it did before is unchanged. It reads with platform/configurations.py, as nodes do; the decisions are in advice/ and do no input or output.

Left out: two services of one name (the parser keeps the later one, as nodes do), and fields that nodes don't know. A longer prefix of a host doesn't hide a shorter one, so that only equal ones are reported. 524 and 525 need the numbers of nodes and targets, from options or the store.

Evidence: tests/advice (a configuration with each fault, the differences, the command with its exit status, a store stand-in; a hypothesis test that what is clean is parsed without error and matched by nodes, a quarter of its 300 examples were clean), tests/cli and tests/platform pass.

--- /dev/null
+++ b/src/jujubeyard/advice/__init__.py
@@ -0,0 +1,1 @@
+"""What an operator should know of a configuration before it is in force."""
--- a/src/jujubeyard/cli/commands.py
+++ b/src/jujubeyard/cli/commands.py
@@ -11,6 +11,7 @@
 from jujubeyard import status as statuses
 from jujubeyard.cli import admin_client
 from jujubeyard.cli import config_changes
+from jujubeyard.cli import configuration_check
 from jujubeyard.cli import timeline_view
 from jujubeyard.manifest import loader
 from jujubeyard.output import tables
@@ -91,13 +92,47 @@
         self.zone = DrainCommands(env, config_changes.set_zone_drained)
         self.target = DrainCommands(env, config_changes.set_target_drained)
 
-    def check(self, manifest: str) -> statuses.ExitStatus:
-        """Validates a manifest file.
+    def check(
+        self,
+        file: str,
+        in_force: str = "",
+        store: str = "",
+        nodes: int | None = None,
+        targets: dict | None = None,
+        json: bool = False,
+    ) -> statuses.ExitStatus:
+        """Validates a manifest, or a configuration before it is sent.
+
+        A file that holds a JSON object is a configuration of the platform. It
+        is read as nodes read it. Shown are all errors, entries that can never
+        match, limits that contradict each other and, if the version in force
+        is given, what differs from it and what that does to callers. Each
+        finding has a number. The exit status is 0 if there is neither an error
+        nor a warning, 8 for warnings and 9 for errors. Any other file is a
+        manifest; the options don't apply to it.
 
         Args:
-            manifest: Path of the TOML manifest file.
+            file: Path of the TOML manifest or the JSON configuration.
+            in_force: Path of the configuration in force, to compare with.
+            store: Address IP:PORT of the platform's store, from which the
+                configuration in force, the number of nodes and the targets of
+                services are read.
+            nodes: Number of nodes.
+            targets: Number of targets by service, such as {desk:3}.
+            json: Print one JSON document with the findings.
         """
-        path = self._env.config_dir / str(manifest)
+        path = self._env.config_dir / str(file)
+        if not configuration_check.is_configuration(path):
+            return self._check_manifest(path)
+        surroundings = configuration_check.find_surroundings(
+            self._env.config_dir / str(in_force) if in_force else None,
+            str(store),
+            nodes,
+            targets,
+        )
+        return configuration_check.run(self._env, path, surroundings, json)
+
+    def _check_manifest(self, path: pathlib.Path) -> statuses.ExitStatus:
         document = loader.read_manifest(path)
         config_changes.apply_manifest(None, document)
         services = document["service"]
--- a/src/jujubeyard/status.py
+++ b/src/jujubeyard/status.py
@@ -14,4 +14,6 @@
     CONFLICT = 5
     STORE_UNAVAILABLE = 6
     NOT_FOUND = 7
+    WARNINGS = 8
+    BAD_CONFIGURATION = 9
     INTERRUPTED = 130
--- /dev/null
+++ b/tests/advice/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the check of a configuration."""
