Pass large bodies on as they arrive, within one bound on memory

Callers with uploads saw each body wait for its last byte before the first went on, and a node held all of them whole: 32 MiB of bodies, 48 MiB of answers and 24 MiB of unread answers, each with a constant of its own, whatever the memory of the VM. A call of a caller that was too slow counted as a failure of its target, and a malformed chunk kept a call until its deadline.

Bodies of over 64 KiB are now streams (node/body_stream.py): blocks of 16 KiB with back-pressure both ways, with the caller's framing, 100 Continue once the first block is wanted, limits by length or on the way. A caller that leaves is also noticed while its connection isn't read (node/departures.py). The first 64 KiB stay held until more was read; after that a call goes to no second target. Faults of callers are an outcome of their own. memory.MemoryBudget is the one bound, 0.3 of the settings' memory_mb; past it new calls are refused at once, reading of answers stops, then the peers that hold most are closed. node/sent_bytes.py bounds the bodies at one target. Kernel receive buffers are limited to 64 KiB.

Tests: test_body_stream.py, test_memory.py and the new table in test_forward.py all use parts that did not exist before. Three tests of test_server.py asserted on the constants and the buffer that are gone: bodies of many callers in chunks are now passed on instead of refused, so that test_bodies_of_many_callers_share_a_memory_limit became test_bodies_that_no_target_takes_stay_with_their_callers (bounded by tracemalloc and per connection) and the refusals are checked in test_bodies_of_calls_in_progress_share_the_memory_limit with bounds of 2 and 4 MiB instead of 32; the endless body must still end in 413 and reach no target whole.

--- a/src/jujubeyard/bodies.py
+++ b/src/jujubeyard/bodies.py
@@ -17,7 +17,7 @@
 
 
 class BuffersFullError(aiohttp.ClientPayloadError):
-    """All bodies together are larger than their reader accepts."""
+    """All that is held for peers is larger than the memory for it."""
 
 
 class BodyReader:
--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -33,6 +33,10 @@
 """How long sent data may stay unacknowledged by the peer's kernel before the
 connection is closed."""
 
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Size of what the kernel holds of a connection that isn't read. It counts as
+memory of the process where that is limited."""
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER value that makes a close reset the connection, so that data delayed
 on a link doesn't arrive later."""
@@ -215,9 +219,15 @@
     sock = socket.socket(family, kind, proto)
     set_dead_peer_detection(sock)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    limit_receive_buffer(sock)
     return sock
 
 
+def limit_receive_buffer(sock: socket.socket) -> None:
+    """Limits what the kernel holds of a connection that isn't read."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 def set_dead_peer_detection(sock: socket.socket) -> None:
     """Makes the kernel close a connection whose peer is silent for seconds."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/src/jujubeyard/entry/entry.py
+++ b/src/jujubeyard/entry/entry.py
@@ -12,6 +12,7 @@
 from jujubeyard import bodies
 from jujubeyard import clock
 from jujubeyard import codes
+from jujubeyard import memory
 from jujubeyard import responses
 from jujubeyard import settings
 from jujubeyard.admission import budget
@@ -47,6 +48,10 @@
 MAX_BUFFERED_BYTES = 32 * bodies.MIB
 """Largest size of all bodies that are being read from callers."""
 
+MAX_WRITTEN_BYTES = 48 * bodies.MIB
+"""Largest size of all large answers that are being written to callers, with
+what waits in the buffers of their connections."""
+
 MILLISECONDS_PER_SECOND = 1000.0
 HEALTH_PATH = "/-/health"
 SHUTDOWN_POLL_SECONDS = 0.02
@@ -84,7 +89,9 @@
         self._body_reader = bodies.BodyReader(
             cfg.max_body_bytes, MAX_BUFFERED_BYTES
         )
-        self._writer = responses.ResponseWriter(self._log_abandoned)
+        self._writer = responses.ResponseWriter(
+            self._log_abandoned, memory.MemoryBudget(MAX_WRITTEN_BYTES)
+        )
         self._next_metrics_update = 0.0
         self._open_calls = 0
         self._shutting_down = False
--- a/src/jujubeyard/node/calls.py
+++ b/src/jujubeyard/node/calls.py
@@ -4,11 +4,12 @@
 import dataclasses
 
 from jujubeyard import codes
+from jujubeyard.node import body_stream
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
-    """A call, read completely from its caller.
+    """A call, read from its caller.
 
     Attributes:
         call_id: ID that the caller gave to this attempt.
@@ -16,10 +17,12 @@
         host: Value of the Host header.
         path: Path and query string exactly as they were sent.
         headers: All headers, in order.
-        body: The complete body.
+        body: The complete body; empty if it is passed on as it arrives.
         key: The call's key; None if it has none.
         received_at: When the call was read, in monotonic seconds.
         timeout_seconds: How long the caller waits for the reply.
+        stream: A large body, which is passed on as it arrives; None if the
+            body is complete.
     """
 
     call_id: str
@@ -31,6 +34,17 @@
     key: int | None
     received_at: float
     timeout_seconds: float
+    stream: body_stream.BodyStream | None = None
+
+    def limit_body(self, max_body_bytes: int) -> bool:
+        """Limits the size of the body, and returns whether it may fit."""
+        if self.stream is None:
+            return len(self.body) <= max_body_bytes
+        return self.stream.limit(max_body_bytes)
+
+    def may_be_sent(self) -> bool:
+        """Returns whether the body can be sent from its start."""
+        return self.stream is None or self.stream.is_held
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -12,6 +12,7 @@
 from jujubeyard import connections
 from jujubeyard import context
 from jujubeyard import errors
+from jujubeyard import memory
 from jujubeyard import status
 from jujubeyard.internal import command
 from jujubeyard.node import cluster_view
@@ -39,6 +40,10 @@
 
 PROGRAM = "jujubeyard-node"
 GC_THRESHOLD = 20_000
+PEERS_MEMORY_SHARE = 0.3
+"""Share of the memory for all that is held for callers and targets. On the
+smallest VMs, a node without calls uses a third."""
+
 STORE_CALL_TIMEOUT_SECONDS = 0.5
 STORE_READ_TIMEOUT_SECONDS = 3.0
 READINESS_NOTICE_SECONDS = 2.3
@@ -229,7 +234,12 @@
             self._mirrors,
             cfg.limits.max_hold,
         )
-        self._upstream_client = upstream.UpstreamClient(header_names)
+        budget = memory.MemoryBudget(
+            int(PEERS_MEMORY_SHARE * cfg.limits.memory_bytes),
+            self._metrics.count_memory_refusal,
+        )
+        self._metrics.watch_memory(lambda: budget.held_bytes)
+        self._upstream_client = upstream.UpstreamClient(header_names, budget)
         self._forwarder = forward.Forwarder(
             cfg,
             self._view,
@@ -245,6 +255,7 @@
             header_names,
             log,
             self._forwarder.is_idempotent,
+            budget,
         )
         self._tasks: list[asyncio.Task] = []
         self._is_shutting_down = False
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -44,6 +44,8 @@
 BROKEN_AVOID_SECONDS = 0.5
 UNREACHABLE_AVOID_SECONDS = 1.0
 UNREACHABLE_RETRY_SECONDS = 0.3
+UPLOADS_RETRY_SECONDS = 0.5
+"""When a caller should retry whose body no target has room for."""
 
 
 class Forwarder:
@@ -115,7 +117,7 @@
         if route is None:
             return self._reply_without_route(call, path)
         configuration = self._view.routes.configuration
-        if len(call.body) > configuration.max_body_bytes:
+        if not call.limit_body(configuration.max_body_bytes):
             return calls.make_error_reply(codes.ResultCode.BODY_TOO_LARGE)
         service = configuration.services[self._splitter.choose_service(route)]
         timeout_seconds = min(call.timeout_seconds, route.timeout)
@@ -178,6 +180,8 @@
         """Returns whether the call may be sent to a target once more."""
         if state.may_have_run and not state.route.idempotent:
             return False
+        if not state.call.may_be_sent():
+            return False
         return len(state.tried_targets) < max(1, state.route.max_targets)
 
     async def _send_to_target(
@@ -230,6 +234,7 @@
             call.call_id,
             remaining,
             not state.route.idempotent or is_repeated,
+            call.stream,
         )
 
     def _process_result(
@@ -254,6 +259,12 @@
                 state, target, result.answer, started_at
             )
         self._log_failed_attempt(state, target, outcome.value, result.detail)
+        if outcome is upstream.SendOutcome.TARGET_FULL:
+            state.latest_code = codes.ResultCode.TARGET_REFUSED
+            state.retry_after = UPLOADS_RETRY_SECONDS
+            return None
+        if outcome is upstream.SendOutcome.CALLER_FAILED:
+            return calls.make_error_reply(state.call.stream.failure)
         target.load.observe_failure()
         if outcome is upstream.SendOutcome.NOT_SENT:
             target.load.avoid_until = now + UNREACHABLE_AVOID_SECONDS
--- a/src/jujubeyard/node/metrics.py
+++ b/src/jujubeyard/node/metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of a node."""
 
+import collections.abc
+
 import prometheus_client
 
 from jujubeyard import codes
@@ -56,6 +58,17 @@
             )
         )
 
+        self._held_bytes = prometheus_client.Gauge(
+            "jujubeyard_held_bytes",
+            "Memory held for callers and targets.",
+            registry=self.registry,
+        )
+        self._memory_refusals = prometheus_client.Counter(
+            "jujubeyard_memory_refusals",
+            "Calls refused for want of memory.",
+            registry=self.registry,
+        )
+
     def count_call(
         self, service: str, code: codes.ResultCode, seconds: float
     ) -> None:
@@ -69,6 +82,20 @@
         self._calls.child(service, code.name).inc()
         self._call_seconds.child(service).observe(seconds)
 
+    def watch_memory(
+        self, held_bytes: collections.abc.Callable[[], int]
+    ) -> None:
+        """Exposes how much memory is held for peers.
+
+        Args:
+            held_bytes: Returns its size.
+        """
+        self._held_bytes.set_function(held_bytes)
+
+    def count_memory_refusal(self) -> None:
+        """Counts a call that was refused for want of memory."""
+        self._memory_refusals.inc()
+
     def count_attempt(self, service: str, outcome: str) -> None:
         """Counts an attempt to send a call to a target.
 
--- a/src/jujubeyard/node/pipelining.py
+++ b/src/jujubeyard/node/pipelining.py
@@ -8,10 +8,12 @@
 import collections.abc
 
 from aiohttp import http
+from aiohttp import http_exceptions
 from aiohttp import streams
 from aiohttp import web
 from aiohttp import web_protocol
 
+from jujubeyard import connections
 from jujubeyard.node import calls
 
 MAX_EARLY_PER_CONNECTION = 4
@@ -19,6 +21,9 @@
 """Largest number of early calls of all connections. Their answers are held in
 memory until their turn."""
 
+RECEIVE_BYTES = 16 * 1024
+"""Size of what is received at once."""
+
 EARLY_METHODS = frozenset({"GET", "HEAD"})
 
 StartCall = collections.abc.Callable[
@@ -63,12 +68,31 @@
         self._server = server
         self._early_calls: dict[int, asyncio.Task[calls.Reply]] = {}
 
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Limits what is received at once."""
+        transport.max_size = RECEIVE_BYTES
+        connections.limit_receive_buffer(transport.get_extra_info("socket"))
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         """Parses requests, and begins calls that may run early."""
         super().data_received(data)
         if self._current_request is not None:
+            self._end_malformed_body()
             self.start_waiting_calls()
 
+    def _end_malformed_body(self) -> None:
+        """Fails the body of the current request, if the rest is malformed.
+
+        The base class only reports an error behind the request.
+        """
+        content = self._current_request.content
+        if content.is_eof() or not self._messages:
+            return
+        if not isinstance(self._messages[0][0], http.RawRequestMessage):
+            error = http_exceptions.TransferEncodingError("malformed body")
+            content.set_exception(error)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancels the early calls, whose answers nobody awaits any more."""
         super().connection_lost(exc)
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -12,17 +12,17 @@
 from jujubeyard import codes
 from jujubeyard import durations
 from jujubeyard import fields
+from jujubeyard import memory
 from jujubeyard import responses
+from jujubeyard.node import body_stream
 from jujubeyard.node import calls
+from jujubeyard.node import departures
 from jujubeyard.node import journal
 from jujubeyard.node import pipelining
 from jujubeyard.node import protocol
 from jujubeyard.node import settings
 
 MAX_BODY_BYTES = 8 * bodies.MIB
-MAX_BUFFERED_BYTES = 32 * bodies.MIB
-"""Largest size of all bodies of callers whose calls aren't answered yet."""
-
 LINGER_SECONDS = 1.0
 """How long the rest of a body is discarded after an early answer."""
 
@@ -69,6 +69,7 @@
         header_names: protocol.HeaderNames,
         log: journal.Journal,
         may_repeat: collections.abc.Callable[[calls.Call], bool],
+        budget: memory.MemoryBudget,
     ):
         """Initializes the server; it listens once it is started.
 
@@ -77,6 +78,7 @@
             header_names: Names of the protocol's headers.
             log: The log.
             may_repeat: Returns whether a call may run more than once.
+            budget: Memory for all that is held for callers.
         """
         self._may_repeat = may_repeat
         self._handle_call = handle_call
@@ -87,10 +89,9 @@
         self._is_shutting_down = False
         self._site: web.TCPSite | None = None
         self._call_limits: set[asyncio.Timeout] = set()
-        self._body_reader = bodies.BodyReader(
-            MAX_BODY_BYTES, MAX_BUFFERED_BYTES
-        )
-        self._writer = responses.ResponseWriter(self._log_abandoned)
+        self._budget = budget
+        self._body_receiver = body_stream.BodyReceiver(MAX_BODY_BYTES, budget)
+        self._writer = responses.ResponseWriter(self._log_abandoned, budget)
         self._server = pipelining.PipeliningServer(
             self._handle_request,
             self._start_early_call,
@@ -99,6 +100,7 @@
             auto_decompress=False,
             keepalive_timeout=IDLE_TIMEOUT_SECONDS,
             lingering_time=LINGER_SECONDS,
+            read_bufsize=pipelining.RECEIVE_BYTES,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
@@ -149,14 +151,22 @@
             timeout_seconds = self._parse_timeout(req.headers)
         except ValueError:
             return self._refuse_body(req, codes.ResultCode.BAD_REQUEST)
-        await _ask_for_body(req)
-        body = await self._body_reader.read_request(
-            req.content, timeout_seconds
+        received = await self._body_receiver.receive(
+            req.content,
+            req.content_length,
+            timeout_seconds,
+            lambda: _ask_for_body(req),
         )
-        if body.is_err():
-            return self._refuse_body(req, body.err_value)
-        with self._body_reader.hold(body.ok_value):
-            return await self._answer_call(req, body.ok_value, timeout_seconds)
+        if isinstance(received, codes.ResultCode):
+            return self._refuse_body(req, received)
+        with received.holding:
+            if received.stream is None:
+                return await self._answer_call(req, received, timeout_seconds)
+            async with departures.watching(req.transport):
+                resp = await self._answer_call(req, received, timeout_seconds)
+        if not req.content.is_eof():
+            resp.force_close()
+        return resp
 
     def _start_early_call(
         self, message: http.RawRequestMessage
@@ -170,24 +180,29 @@
         """
         try:
             timeout_seconds = self._parse_timeout(message.headers)
-            call = self._parse_call(message, b"", timeout_seconds)
+            call = self._parse_call(message, timeout_seconds)
         except ValueError:
             return None
-        if not self._may_repeat(call):
+        if not self._may_repeat(call) or self._budget.is_full():
             return None
         return self._serve_call(call)
 
     async def _answer_call(
-        self, req: web.BaseRequest, body: bytes, timeout_seconds: float
+        self,
+        req: web.BaseRequest,
+        received: body_stream.ReceivedBody,
+        timeout_seconds: float,
     ) -> web.Response:
-        """Returns the response to a request whose body was read."""
+        """Returns the response to a request whose body was accepted."""
         if self.is_refusing_calls:
             code = codes.ResultCode.SHUTTING_DOWN
             return self._make_response(
                 req, calls.make_error_reply(code, SHUTDOWN_RETRY_SECONDS)
             )
         try:
-            call = self._parse_call(req._message, body, timeout_seconds)
+            call = self._parse_call(
+                req._message, timeout_seconds, received.body, received.stream
+            )
         except ValueError:
             return self._make_response(
                 req, calls.make_error_reply(codes.ResultCode.BAD_REQUEST)
@@ -222,6 +237,14 @@
             seconds=round(abandoned.seconds, 3),
         )
 
+    def _log_memory_refusal(self, req: web.BaseRequest) -> None:
+        self._log.log_call(
+            "call refused, memory is full",
+            call=req.headers.get(self._header_names.call_id, ""),
+            held_bytes=self._budget.held_bytes,
+            max_bytes=self._budget.max_bytes,
+        )
+
     def _refuse_body(
         self, req: web.BaseRequest, code: codes.ResultCode
     ) -> web.Response:
@@ -232,6 +255,7 @@
         retry_after = 0.0
         if code is codes.ResultCode.OVERLOADED:
             retry_after = BUFFERS_FULL_RETRY_SECONDS
+            self._log_memory_refusal(req)
         reply = calls.make_error_reply(code, retry_after)
         resp = self._make_response(req, reply)
         if not req.protocol.has_early_calls():
@@ -255,8 +279,9 @@
     def _parse_call(
         self,
         message: http.RawRequestMessage,
-        body: bytes,
         timeout_seconds: float,
+        body: bytes = b"",
+        stream: body_stream.BodyStream | None = None,
     ) -> calls.Call:
         """Returns the call in a request.
 
@@ -279,6 +304,7 @@
             key=key,
             received_at=time.monotonic(),
             timeout_seconds=timeout_seconds,
+            stream=stream,
         )
 
     def _make_response(
--- a/src/jujubeyard/node/settings.py
+++ b/src/jujubeyard/node/settings.py
@@ -1,12 +1,16 @@
 """Reads and validates the settings of a node."""
 
 import dataclasses
+import math
 import pathlib
 import tomllib
 
 from jujubeyard import durations
 from jujubeyard import errors
 
+DEFAULT_MEMORY_MB = 200
+BYTES_PER_MB = 1_000_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
@@ -40,6 +44,7 @@
         cold_factor: Load that a cold target can handle in a second, as a
             multiple of the cold rate of its service.
         cold_slack: Further calls that a cold target can handle in a second.
+        memory_bytes: Memory of the VM that the process may use, in bytes.
     """
 
     drain: float
@@ -50,6 +55,7 @@
     retry_allowance: float
     cold_factor: float
     cold_slack: float
+    memory_bytes: int = DEFAULT_MEMORY_MB * BYTES_PER_MB
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +112,9 @@
                 retry_allowance=float(limits["retry_allowance"]),
                 cold_factor=float(limits["cold_factor"]),
                 cold_slack=float(limits["cold_slack"]),
+                memory_bytes=_parse_memory(
+                    limits.get("memory_mb", DEFAULT_MEMORY_MB)
+                ),
             ),
         )
     except OSError as exc:
@@ -124,6 +133,18 @@
     return value
 
 
+def _parse_memory(value: object) -> int:
+    """Returns a size in bytes.
+
+    Raises:
+        ValueError: The size isn't a positive number of MB.
+    """
+    megabytes = float(value)
+    if not 0 < megabytes < math.inf:
+        raise ValueError(f"{value!r} is not a positive number of MB")
+    return int(megabytes * BYTES_PER_MB)
+
+
 def parse_address(value: object) -> Address:
     """Parses an address such as "10.0.0.1:80".
 
--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -9,12 +9,16 @@
 
 from jujubeyard import bodies
 from jujubeyard import connections
+from jujubeyard import memory
+from jujubeyard.node import answer_stream
+from jujubeyard.node import body_stream
 from jujubeyard.node import protocol
+from jujubeyard.node import sent_bytes
 
 MAX_ANSWER_BYTES = 8 * bodies.MIB
-MAX_BUFFERED_BYTES = 48 * bodies.MIB
-"""Largest size of all answers that are being read. The smallest VMs have 200
-MB, of which a node without calls uses a quarter."""
+MAX_SENT_BYTES_PER_TARGET = 4 * bodies.MIB
+"""Largest size of the bodies that are sent to one target and not answered yet.
+A target holds them in memory; a single larger one is sent all the same."""
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 
@@ -28,6 +32,11 @@
     """The call may have run, but the answer is missing or incomplete."""
 
     TIMED_OUT = "timed out"
+    CALLER_FAILED = "caller broke off"
+    """The caller's body isn't complete. The target isn't at fault."""
+
+    TARGET_FULL = "target has no room"
+    """The target holds too much already. Nothing was sent."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +84,7 @@
         on_fresh_connection: Whether the call needs a connection that no call
             has used before, so that the target can't close the connection as
             idle while the call is on its way.
+        stream: The body, if it is passed on as it arrives.
     """
 
     address: str
@@ -85,19 +95,35 @@
     call_id: str
     timeout_seconds: float
     on_fresh_connection: bool
+    stream: body_stream.BodyStream | None = None
+
+    def known_bytes(self) -> int:
+        """Returns the size of the body, or of its start if it is in chunks."""
+        if self.stream is None:
+            return len(self.body)
+        return self.stream.length or body_stream.WHOLE_BODY_BYTES
 
 
 class UpstreamClient:
     """Sends calls to targets over reused or new connections."""
 
-    def __init__(self, header_names: protocol.HeaderNames):
+    def __init__(
+        self, header_names: protocol.HeaderNames, budget: memory.MemoryBudget
+    ):
+        """Initializes the client.
+
+        Args:
+            header_names: Names of the protocol's headers.
+            budget: Memory for the answers of targets.
+        """
         self._reusing_session = connections.make_session(
             header_names.call_id, force_close=False
         )
         self._fresh_session = connections.make_session(
             header_names.call_id, force_close=True
         )
-        self._reader = bodies.BodyReader(MAX_ANSWER_BYTES, MAX_BUFFERED_BYTES)
+        self._budget = budget
+        self._sent_bytes = sent_bytes.SentBytes(MAX_SENT_BYTES_PER_TARGET)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -113,6 +139,17 @@
         Returns:
             The outcome, with the answer if it is complete.
         """
+        with self._sent_bytes.begin(call.address, call.known_bytes()) as body:
+            if not body.is_admitted:
+                return SendResult(SendOutcome.TARGET_FULL)
+            return await self._send(call, body.count)
+
+    async def _send(
+        self,
+        call: OutgoingCall,
+        report_sent: collections.abc.Callable[[int], None],
+    ) -> SendResult:
+        """Sends a call for which its target has room."""
         session = (
             self._fresh_session
             if call.on_fresh_connection
@@ -125,12 +162,14 @@
             async with session.request(
                 call.method,
                 yarl.URL(f"http://{call.address}{call.path}", encoded=True),
-                data=call.body or None,
+                data=_make_payload(call, report_sent),
                 headers=call.headers,
                 timeout=timeout,
                 allow_redirects=False,
             ) as resp:
-                body = await self._reader.read(resp.content)
+                body = await answer_stream.read_whole(
+                    resp.content, MAX_ANSWER_BYTES, self._budget
+                )
                 return _classify_answer(resp, body)
         except (
             aiohttp.ClientConnectorError,
@@ -138,11 +177,24 @@
         ) as exc:
             return SendResult(SendOutcome.NOT_SENT, detail=repr(exc))
         except TimeoutError as exc:
+            if call.stream is not None and call.stream.note_timeout():
+                return SendResult(SendOutcome.CALLER_FAILED, detail=repr(exc))
             return SendResult(SendOutcome.TIMED_OUT, detail=repr(exc))
         except (aiohttp.ClientError, OSError, ValueError) as exc:
+            if call.stream is not None and call.stream.failure is not None:
+                return SendResult(SendOutcome.CALLER_FAILED, detail=repr(exc))
             return SendResult(SendOutcome.BROKEN, detail=repr(exc))
 
 
+def _make_payload(
+    call: OutgoingCall, report_sent: collections.abc.Callable[[int], None]
+) -> body_stream.StreamPayload | bytes | None:
+    """Returns the body of a request, as the session takes it."""
+    if call.stream is not None:
+        return body_stream.StreamPayload(call.stream, report_sent)
+    return call.body or None
+
+
 def _classify_answer(resp: connections.Response, body: bytes) -> SendResult:
     """Returns the result of an answer that was read to its end.
 
--- a/src/jujubeyard/responses.py
+++ b/src/jujubeyard/responses.py
@@ -7,16 +7,15 @@
 
 from aiohttp import web
 
-from jujubeyard import bodies
 from jujubeyard import connections
+from jujubeyard import memory
 
-MAX_UNREAD_BYTES = 24 * bodies.MIB
-"""Largest size of all that callers haven't taken yet of large bodies. A body is
-in memory twice while it is written."""
-
-LARGE_BODY_BYTES = 64 * 1024
+LARGE_BODY_BYTES = 16 * 1024
 """Size above which a body is counted; a smaller one is written at once."""
 
+COPIES_WHILE_WRITTEN = 2
+"""How often a body is in memory until its connection has taken it."""
+
 MIN_RATE_SECONDS = 0.1
 """Shortest time over which the rate of a caller is measured."""
 
@@ -41,7 +40,13 @@
 class _Unread:
     """A response that is being written."""
 
-    def __init__(self, req: web.BaseRequest, body_bytes: int):
+    def __init__(
+        self,
+        req: web.BaseRequest,
+        body_bytes: int,
+        report: collections.abc.Callable[[AbandonedResponse], None],
+    ):
+        self._report = report
         self.transport = req.transport
         self._req = req
         self._body_bytes = body_bytes
@@ -52,14 +57,21 @@
         """Size of what the caller's connection hasn't taken yet."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def held_bytes(self) -> int:
+        """Size of the body, and of the part of it that waits in a buffer."""
+        if self.transport.is_closing():
+            return 0
+        return self._body_bytes + self.unread_bytes
+
     def read_rate(self) -> float:
         """Returns how fast the caller reads, in bytes per second."""
         seconds = time.monotonic() - self._started_at
         read_bytes = self._body_bytes - self.unread_bytes
         return read_bytes / max(seconds, MIN_RATE_SECONDS)
 
-    def abandon(self) -> AbandonedResponse:
-        """Resets the connection, and returns what was given up."""
+    def close(self) -> None:
+        """Resets the connection, and reports what was given up."""
         abandoned = AbandonedResponse(
             self._req,
             self._body_bytes,
@@ -71,7 +83,7 @@
             socket.SOL_SOCKET, socket.SO_LINGER, connections.RESET_ON_CLOSE
         )
         self.transport.abort()
-        return abandoned
+        self._report(abandoned)
 
 
 class ResponseWriter:
@@ -82,14 +94,18 @@
     """
 
     def __init__(
-        self, report: collections.abc.Callable[[AbandonedResponse], None]
+        self,
+        report: collections.abc.Callable[[AbandonedResponse], None],
+        budget: memory.MemoryBudget,
     ):
         """Initializes a writer.
 
         Args:
             report: Called with each response that is given up.
+            budget: Memory for what is held for callers.
         """
         self._report = report
+        self._budget = budget
         self._unread: set[_Unread] = set()
 
     async def write(
@@ -110,8 +126,9 @@
         if body_bytes <= LARGE_BODY_BYTES or req.transport is None:
             return resp
         self._make_room(body_bytes)
-        unread = _Unread(req, body_bytes)
+        unread = _Unread(req, body_bytes, self._report)
         self._unread.add(unread)
+        self._budget.add_peer(unread)
         try:
             await resp.prepare(req)
             await resp.write_eof()
@@ -119,14 +136,14 @@
             pass  # The server finds the connection closed as well.
         finally:
             self._unread.discard(unread)
+            self._budget.remove_peer(unread)
         return resp
 
     def _make_room(self, body_bytes: int) -> None:
         """Gives up responses until a body fits into the limit."""
-        unread_bytes = sum(unread.unread_bytes for unread in self._unread)
-        while self._unread and unread_bytes + body_bytes > MAX_UNREAD_BYTES:
+        written_bytes = COPIES_WHILE_WRITTEN * body_bytes
+        while self._unread and not self._budget.has_room(written_bytes):
             slowest = min(self._unread, key=_Unread.read_rate)
             self._unread.discard(slowest)
-            abandoned = slowest.abandon()
-            unread_bytes -= abandoned.unread_bytes
-            self._report(abandoned)
+            self._budget.remove_peer(slowest)
+            slowest.close()
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -113,7 +113,7 @@
         shard = table.Shard(0, 65535, owner, fence, "")
         self.view.apply_table(table.ShardTable("desk", (shard,), revision))
 
-    async def serve(self, route, key=None, seconds=2.0, body=b""):
+    async def serve(self, route, key=None, seconds=2.0, body=b"", stream=None):
         loop = asyncio.get_running_loop()
         call = calls.Call(
             "c1",
@@ -125,6 +125,7 @@
             key,
             loop.time(),
             seconds,
+            stream,
         )
         return await self.forwarder.serve(call)
 
@@ -154,11 +155,58 @@
 NOT_RUN_WITHOUT_HEADER = make_answer(503)
 
 
+CALLER_FAILED = upstream.SendResult(upstream.SendOutcome.CALLER_FAILED)
+TARGET_FULL = upstream.SendResult(upstream.SendOutcome.TARGET_FULL)
+
+
+class FakeStream:
+    def __init__(self, is_held, failure=None):
+        self.is_held = is_held
+        self.failure = failure
+
+    def limit(self, max_bytes):
+        return True
+
+
 @pytest.fixture
 def harness():
     return Harness()
 
 
+@pytest.mark.parametrize(
+    ("script", "stream", "status", "attempts"),
+    [
+        pytest.param(
+            [NOT_RUN, make_answer()], FakeStream(True), 200, 2, id="held"
+        ),
+        pytest.param([NOT_RUN], FakeStream(False), 503, 1, id="not held"),
+        pytest.param([BROKEN], FakeStream(False), 502, 1, id="broken"),
+        pytest.param(
+            [CALLER_FAILED],
+            FakeStream(False, codes.ResultCode.DEADLINE_EXCEEDED),
+            504,
+            1,
+            id="caller too slow",
+        ),
+        pytest.param(
+            [TARGET_FULL, make_answer()], FakeStream(True), 200, 2, id="full"
+        ),
+        pytest.param(
+            [TARGET_FULL] * 2, FakeStream(True), 503, 2, id="all full"
+        ),
+    ],
+)
+async def test_body_in_transit_is_sent_again_only_while_it_is_held(
+    harness, script, stream, status, attempts
+):
+    targets = [harness.add_target("t1"), harness.add_target("t2")]
+    harness.client.script = list(script)
+    reply = await harness.serve("read", stream=stream)
+    assert (reply.status, len(harness.client.sent)) == (status, attempts)
+    if CALLER_FAILED in script or TARGET_FULL in script:
+        assert not any(target.load.avoid_until for target in targets)
+
+
 @pytest.mark.parametrize(
     ("route", "script", "status", "attempts"),
     [
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -3,13 +3,17 @@
 import asyncio
 import gzip
 import io
+import socket
 
 import pytest
 
 from jujubeyard import bodies
 from jujubeyard import codes
-from jujubeyard import responses
+from jujubeyard import connections
+from jujubeyard import memory
+from jujubeyard.node import body_stream
 from jujubeyard.node import calls
+from jujubeyard.node import departures
 from jujubeyard.node import journal
 from jujubeyard.node import pipelining
 from jujubeyard.node import server
@@ -20,6 +24,7 @@
 from tests.utils import slow_callers
 
 ENDLESS_SECONDS = 0.5
+MAX_HELD_BYTES = 32 * bodies.MIB
 REQUEST = b"GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Call: c1\r\n\r\n"
 
 
@@ -27,6 +32,8 @@
     def __init__(self, address):
         self.address = address
         self.calls = []
+        self.is_taking_bodies = True
+        self.streamed_bytes = 0
         self.cancelled_calls = 0
         self.running_calls = 0
         self.most_running_calls = 0
@@ -35,14 +42,22 @@
         self.replies: dict[str, calls.Reply] = {}
         self.reply = calls.Reply(codes.ResultCode.OK, 200, {"X": "1"}, b"ok")
         self.log_output = io.StringIO()
+        self.budget = memory.MemoryBudget(MAX_HELD_BYTES)
         self.server = server.CallerServer(
             self.serve,
             test_upstream.NAMES,
             journal.Journal(self.log_output, "vm-0"),
             lambda call: not call.path.startswith("/order/"),
+            self.budget,
         )
 
     async def serve(self, call):
+        if call.stream is not None and self.is_taking_bodies:
+            try:
+                async for block in call.stream.iter_blocks():
+                    self.streamed_bytes += len(block)
+            except body_stream.CallerFailedError:
+                return calls.make_error_reply(call.stream.failure)
         self.calls.append(call)
         delay_seconds = self.delays.get(call.call_id, self.delay_seconds)
         self.running_calls += 1
@@ -177,11 +192,11 @@
 CHUNK = b"10000\r\n" + b"x" * 65536 + b"\r\n"
 
 
-async def _send_chunks(writer, count: int) -> None:
-    writer.write(CHUNKED_REQUEST)
+async def _send_chunks(writer, count, start=CHUNKED_REQUEST, chunk=CHUNK):
+    writer.write(start)
     try:
         for _ in range(count):
-            writer.write(CHUNK)
+            writer.write(chunk)
             await writer.drain()
     except ConnectionError:
         return
@@ -240,7 +255,7 @@
 async def test_endless_bytes_of_callers_do_not_exhaust_memory(
     harness, start, repeated
 ):
-    with endless.assert_memory_is_bounded(server.MAX_BUFFERED_BYTES):
+    with endless.assert_memory_is_bounded(MAX_HELD_BYTES):
         senders = [
             asyncio.create_task(_send_without_end(harness, start, repeated))
             for _ in range(24)
@@ -253,45 +268,85 @@
     writer.close()
 
 
-async def test_bodies_of_many_callers_share_a_memory_limit(harness):
-    conns = [await harness.connect() for _ in range(20)]
-    async with asyncio.timeout(10.0):
-        await asyncio.gather(*(_send_chunks(writer, 60) for _, writer in conns))
-        answers = [
-            asyncio.create_task(_read_answer(reader)) for reader, _ in conns
-        ]
-        await asyncio.sleep(0.5)
-    heads = [answer.result()[0] for answer in answers if answer.done()]
-    assert heads
-    assert all(head.startswith(b"HTTP/1.1 429 ") for head in heads)
-    assert all(b"Retry-After: " in head for head in heads)
-    buffered_bytes = harness.server._body_reader.buffered_bytes
-    assert 0 < buffered_bytes <= server.MAX_BUFFERED_BYTES
-    for answer in answers:
-        answer.cancel()
+def _upload(size: int) -> bytes:
+    return REQUEST[:-2] + b"Content-Length: %d\r\n\r\n" % size
+
+
+async def _send_bodies(harness, count: int, size: int):
+    """Returns connections on which a body each was sent, as far as possible."""
+    conns = [await harness.connect() for _ in range(count)]
     for _, writer in conns:
-        writer.close()
+        writer.write(_upload(size) + b"x" * size)
+    await asyncio.sleep(1.0)
+    return conns
 
 
-async def test_bodies_of_calls_in_progress_share_the_memory_limit(harness):
-    harness.delay_seconds = 5.0
-    request = REQUEST[:-2] + b"Content-Length: %d\r\n\r\n" % bodies.MIB
-    conns = [await harness.connect() for _ in range(60)]
+async def _close(conns) -> None:
     for _, writer in conns:
-        writer.write(request + b"x" * bodies.MIB)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, connections.RESET_ON_CLOSE
+        )
+        writer.transport.abort()
+    await asyncio.sleep(3 * departures.CHECK_SECONDS)
+
+
+@pytest.mark.parametrize(
+    ("size", "max_held_bytes"),
+    [
+        pytest.param(body_stream.WHOLE_BODY_BYTES, 2 * bodies.MIB, id="whole"),
+        pytest.param(bodies.MIB, 4 * bodies.MIB, id="in transit"),
+    ],
+)
+async def test_bodies_of_calls_in_progress_share_the_memory_limit(
+    harness, size, max_held_bytes
+):
+    harness.budget.max_bytes = max_held_bytes
+    harness.is_taking_bodies = False
+    harness.delay_seconds = 5.0
+    conns = await _send_bodies(harness, 60, size)
     answers = [asyncio.create_task(_read_answer(reader)) for reader, _ in conns]
-    await asyncio.sleep(1.0)
-    held_bytes = sum(len(call.body) for call in harness.calls)
-    assert 0 < held_bytes <= server.MAX_BUFFERED_BYTES
+    await asyncio.sleep(0.2)
+    assert harness.calls
+    assert 0 < harness.budget.held_bytes <= max_held_bytes
     heads = [answer.result()[0] for answer in answers if answer.done()]
     assert len(heads) + len(harness.calls) == len(conns)
     assert all(head.startswith(b"HTTP/1.1 429 ") for head in heads)
+    assert all(b"Retry-After: " in head for head in heads)
     for answer in answers:
         answer.cancel()
-    for _, writer in conns:
-        writer.transport.abort()
-    await asyncio.sleep(0.2)
-    assert harness.server._body_reader.buffered_bytes == 0
+    await _close(conns)
+    assert harness.budget.held_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ("start", "chunk"),
+    [
+        pytest.param(CHUNKED_REQUEST, CHUNK, id="chunks"),
+        pytest.param(_upload(8 * bodies.MIB), b"x" * 65536, id="with length"),
+    ],
+)
+async def test_bodies_that_no_target_takes_stay_with_their_callers(
+    harness, start, chunk
+):
+    harness.is_taking_bodies = False
+    harness.delay_seconds = 5.0
+    conns = [await harness.connect() for _ in range(20)]
+    with endless.assert_memory_is_bounded():
+        senders = [
+            asyncio.create_task(_send_chunks(writer, 120, start, chunk))
+            for _, writer in conns
+        ]
+        await asyncio.sleep(1.0)
+        for conn in harness.server._runner.server.connections:
+            payload = conn._current_request and conn._current_request.content
+            assert (payload._size if payload else 0) <= body_stream.STREAM_BYTES
+    assert len(harness.calls) == len(conns)
+    for sender in senders:
+        sender.cancel()
+    await asyncio.gather(*senders, return_exceptions=True)
+    await _close(conns)
+    assert harness.budget.held_bytes == 0
 
 
 async def test_answers_that_callers_do_not_read_share_a_memory_limit(harness):
@@ -304,7 +359,7 @@
         unread_bytes = sum(
             conn.transport.get_write_buffer_size() for conn in conns
         )
-        assert 0 < unread_bytes <= responses.MAX_UNREAD_BYTES
+        assert 0 < unread_bytes <= MAX_HELD_BYTES
         reader, writer = await harness.connect()
         writer.write(REQUEST)
         assert (await _read_answer(reader))[1] == body
@@ -321,7 +376,7 @@
     assert head.startswith(b"HTTP/1.1 504 ")
     assert b"Connection: close" in head
     assert not harness.calls
-    assert harness.server._body_reader.buffered_bytes == 0
+    assert harness.budget.held_bytes == 0
     writer.close()
 
 
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jujubeyard import bodies
+from jujubeyard import memory
 from jujubeyard.node import protocol
 from jujubeyard.node import upstream
 from tests.utils import endless
@@ -23,6 +24,7 @@
     leaving="X-Leaving",
     pause="Retry-After",
 )
+MAX_HELD_BYTES = 48 * bodies.MIB
 ANSWERED = upstream.SendOutcome.ANSWERED
 BROKEN = upstream.SendOutcome.BROKEN
 CLOSE, RESET = raw_server.CLOSE, raw_server.RESET
@@ -40,7 +42,9 @@
 
 @pytest.fixture
 async def client():
-    created = upstream.UpstreamClient(NAMES)
+    created = upstream.UpstreamClient(
+        NAMES, memory.MemoryBudget(MAX_HELD_BYTES)
+    )
     yield created
     await created.close()
 
