Leave the size of a body to the configuration

A body of over 8 MiB was refused with 413 also where the configuration in force allows 64 MiB, since a node held each body whole. Bodies of over 64 KiB are passed on by now, so that the server's own bound only stops sizes that no configuration means (256 MiB); the forwarder keeps the configured one, by length before anything is read and on the way for chunks. The endless body of test_server.py is limited by its call, to the 8 MiB that it had.

--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -22,7 +22,9 @@
 from jujubeyard.node import protocol
 from jujubeyard.node import settings
 
-MAX_BODY_BYTES = 8 * bodies.MIB
+MAX_BODY_BYTES = 256 * bodies.MIB
+"""Largest body that a configuration can allow."""
+
 LINGER_SECONDS = 1.0
 """How long the rest of a body is discarded after an early answer."""
 
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -24,6 +24,7 @@
 from tests.utils import slow_callers
 
 ENDLESS_SECONDS = 0.5
+MAX_BODY_BYTES = 8 * bodies.MIB
 MAX_HELD_BYTES = 32 * bodies.MIB
 REQUEST = b"GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Call: c1\r\n\r\n"
 
@@ -53,6 +54,7 @@
 
     async def serve(self, call):
         if call.stream is not None and self.is_taking_bodies:
+            call.limit_body(MAX_BODY_BYTES)
             try:
                 async for block in call.stream.iter_blocks():
                     self.streamed_bytes += len(block)
