Pass large answers on as they arrive

A caller of a large answer saw no byte before the last had reached the node, which held up to 8 MiB of each whole, twice while it was written. A target that cut an answer off because we read it slowly, for a slow caller, would have counted as faulty once answers are passed on.

Answers of over 256 KiB are streams now (node/answer_stream.py, written by node/answer_writer.py): classified by their headers, passed on in blocks with the target's framing and back-pressure both ways. Smaller ones are read whole as before, so that a broken one may be retried. An answer that ends early resets the caller's connection; after a pause of a second in our reading the target isn't blamed. The target counts the call as in progress until the answer has ended, and a large answer that isn't passed on is closed. At most 64 KiB are received from a target at once.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -4,6 +4,7 @@
 are discarded, and a connection that brings more than was asked for is closed.
 """
 
+import asyncio
 import socket
 import struct
 
@@ -64,6 +65,11 @@
         self._payloads: list[aiohttp.StreamReader] = []
         self.was_reset = False
 
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Limits what is received at once."""
+        transport.max_size = RECEIVE_BUFFER_BYTES
+        super().connection_made(transport)
+
     def begin_call(self) -> None:
         """Prepares for the answer to the next call."""
         self._is_answered = False
--- /dev/null
+++ b/src/jujubeyard/node/answer_writer.py
@@ -0,0 +1,82 @@
+"""Writes answers to callers as they arrive from targets."""
+
+import asyncio
+import socket
+
+import aiohttp
+from aiohttp import http
+from aiohttp import web
+
+from jujubeyard import connections
+from jujubeyard.node import answer_stream
+
+
+class StreamedResponse(web.StreamResponse):
+    """A response whose body is passed on as it arrives.
+
+    Attributes:
+        stream: The body.
+    """
+
+    def __init__(
+        self,
+        req: web.BaseRequest,
+        status: int,
+        stream: answer_stream.AnswerStream,
+    ):
+        """Initializes a response, with the framing that the target used.
+
+        Args:
+            req: The request.
+            status: HTTP status.
+            stream: The body.
+        """
+        super().__init__(status=status)
+        self.stream = stream
+        if stream.length is not None:
+            self.content_length = stream.length
+        elif req.version >= http.HttpVersion11:
+            self.enable_chunked_encoding()
+        else:
+            self.force_close()
+
+
+async def write(
+    req: web.BaseRequest, resp: StreamedResponse
+) -> web.StreamResponse:
+    """Writes a response as fast as its caller takes it.
+
+    If the body isn't complete, the connection is reset, so that it doesn't look
+    complete to the caller.
+
+    Args:
+        req: The request.
+        resp: The response.
+
+    Returns:
+        The response, for the server.
+    """
+    transport = req.transport
+    try:
+        if transport is None:
+            return resp
+        transport.set_write_buffer_limits(high=answer_stream.BLOCK_BYTES)
+        async with asyncio.timeout_at(resp.stream.deadline):
+            await resp.prepare(req)
+            async for block in resp.stream.iter_blocks():
+                await resp.write(block)
+            await resp.write_eof()
+    except (aiohttp.ClientError, ConnectionError, TimeoutError):
+        _reset(transport)
+    finally:
+        resp.stream.close()
+    return resp
+
+
+def _reset(transport) -> None:
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, connections.RESET_ON_CLOSE
+        )
+    transport.abort()
--- a/src/jujubeyard/node/calls.py
+++ b/src/jujubeyard/node/calls.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from jujubeyard import codes
+from jujubeyard.node import answer_stream
 from jujubeyard.node import body_stream
 
 
@@ -55,9 +56,11 @@
         code: Result code.
         status: HTTP status.
         headers: Headers of the target's answer that are passed on.
-        body: The body.
+        body: The complete body; empty if it is passed on as it arrives.
         retry_after: When the caller should retry, in seconds; 0.0 if it
             should not.
+        stream: A large body, which is passed on as it arrives; None if the
+            body is complete.
     """
 
     code: codes.ResultCode
@@ -67,6 +70,7 @@
     )
     body: bytes = b""
     retry_after: float = 0.0
+    stream: answer_stream.AnswerStream | None = None
 
 
 def make_error_reply(code: codes.ResultCode, retry_after: float = 0.0) -> Reply:
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -1,9 +1,11 @@
 """Forwards calls: matches routes, sends them to targets, retries, replies."""
 
 import collections.abc
+import functools
 import time
 
 from jujubeyard import codes
+from jujubeyard.node import answer_stream
 from jujubeyard.node import answers
 from jujubeyard.node import attempts
 from jujubeyard.node import calls
@@ -204,7 +206,48 @@
             )
         finally:
             target.load.in_flight -= 1
-        return self._process_result(state, target, result, now)
+        reply = self._process_result(state, target, result, now)
+        if result.answer is not None and result.answer.stream is not None:
+            self._follow_stream(state, target, result.answer.stream, reply)
+        return reply
+
+    def _follow_stream(
+        self,
+        state: attempts.CallState,
+        target: registry.Target,
+        stream: answer_stream.AnswerStream,
+        reply: calls.Reply | None,
+    ) -> None:
+        """Counts the call at its target until its answer was passed on."""
+        if reply is None or reply.stream is None:
+            stream.close()
+            return
+        target.load.in_flight += 1
+        stream.on_end(
+            functools.partial(self._end_stream, state, target, stream)
+        )
+
+    def _end_stream(
+        self,
+        state: attempts.CallState,
+        target: registry.Target,
+        stream: answer_stream.AnswerStream,
+    ) -> None:
+        """Records the end of an answer that was passed on as it arrived."""
+        target.load.in_flight -= 1
+        if not stream.failure:
+            return
+        if stream.is_target_at_fault:
+            target.load.observe_failure()
+        self._log.log_call(
+            "answer broken off",
+            call=state.call.call_id,
+            service=state.service.name,
+            target=target.listing.target_id,
+            target_at_fault=stream.is_target_at_fault,
+            detail=stream.failure,
+            left=round(state.remaining_seconds(), 3),
+        )
 
     def _make_outgoing_call(self, state, target) -> upstream.OutgoingCall:
         call = state.call
@@ -304,7 +347,7 @@
             return None
         if kind is answers.AnswerKind.SERVED:
             self._record_success(state, target, now - started_at)
-            target.load.observe_size(len(answer.body))
+            target.load.observe_size(answer.known_bytes())
             return self._make_reply(answer)
         state.may_have_run = True
         target.load.observe_failure()
@@ -386,7 +429,13 @@
         code = codes.ResultCode.OK
         if answer.status >= answers.MIN_SERVER_ERROR_STATUS:
             code = codes.ResultCode.TARGET_ERROR
-        return calls.Reply(code, answer.status, answer.headers, answer.body)
+        return calls.Reply(
+            code,
+            answer.status,
+            answer.headers,
+            answer.body,
+            stream=answer.stream,
+        )
 
     def _log_failed_attempt(self, state, target, outcome: str, detail: str):
         """Logs an attempt that didn't produce a usable answer."""
--- a/src/jujubeyard/node/pipelining.py
+++ b/src/jujubeyard/node/pipelining.py
@@ -97,7 +97,7 @@
         """Cancels the early calls, whose answers nobody awaits any more."""
         super().connection_lost(exc)
         for message_id in list(self._early_calls):
-            self._forget(message_id).cancel()
+            _discard(self._forget(message_id))
 
     def has_early_calls(self) -> bool:
         """Returns whether answers to early calls are still to be sent."""
@@ -147,6 +147,16 @@
         )
 
 
+def _discard(early_call: asyncio.Task[calls.Reply]) -> None:
+    """Ends an early call whose answer nobody awaits any more."""
+    if not early_call.done():
+        early_call.cancel()
+    elif not early_call.cancelled() and not early_call.exception():
+        stream = early_call.result().stream
+        if stream is not None:
+            stream.close()
+
+
 def _is_followed(message) -> bool:
     """Returns whether requests behind a request are answered as well."""
     return not getattr(message, "should_close", True)
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -14,6 +14,7 @@
 from jujubeyard import fields
 from jujubeyard import memory
 from jujubeyard import responses
+from jujubeyard.node import answer_writer
 from jujubeyard.node import body_stream
 from jujubeyard.node import calls
 from jujubeyard.node import departures
@@ -140,6 +141,8 @@
         self.active += 1
         try:
             resp = await self._answer_request(req)
+            if isinstance(resp, answer_writer.StreamedResponse):
+                return await answer_writer.write(req, resp)
             return await self._writer.write(req, resp)
         finally:
             self.active -= 1
@@ -311,14 +314,19 @@
 
     def _make_response(
         self, req: web.BaseRequest, reply: calls.Reply
-    ) -> web.Response:
+    ) -> web.Response | answer_writer.StreamedResponse:
         """Returns the HTTP response for a reply.
 
         During a shutdown it closes the connection, but not before the calls
         behind it that were begun already are answered as well.
         """
         if reply.headers:
-            resp = web.Response(status=reply.status, body=reply.body)
+            if reply.stream is not None:
+                resp = answer_writer.StreamedResponse(
+                    req, reply.status, reply.stream
+                )
+            else:
+                resp = web.Response(status=reply.status, body=reply.body)
             for name, text in reply.headers.items():
                 if name.lower() not in HOP_BY_HOP_HEADERS:
                     resp.headers.add(name, text)
--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -1,6 +1,8 @@
 """HTTP client that sends calls to targets and classifies the outcomes."""
 
+import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 import enum
 
@@ -41,17 +43,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """A target's complete answer.
+    """A target's answer.
 
     Attributes:
         status: HTTP status.
         headers: All headers.
-        body: The complete body.
+        body: The complete body; empty if it is passed on as it arrives.
+        stream: A large body, which is passed on as it arrives; None if the
+            body is complete.
     """
 
     status: int
     headers: collections.abc.Mapping[str, str]
     body: bytes
+    stream: answer_stream.AnswerStream | None = None
+
+    def known_bytes(self) -> int:
+        """Returns the size of the body, or of its start if it isn't known."""
+        if self.stream is None:
+            return len(self.body)
+        return self.stream.length or answer_stream.WHOLE_ANSWER_BYTES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +71,7 @@
 
     Attributes:
         outcome: What is known about the call.
-        answer: The answer; None unless it was complete.
+        answer: The answer; None unless it was complete, or began well.
         detail: Description of the failure for the log.
     """
 
@@ -131,13 +142,13 @@
         await self._fresh_session.close()
 
     async def send(self, call: OutgoingCall) -> SendResult:
-        """Sends a call and waits for its complete answer.
+        """Sends a call and waits for its answer, or the start of a large one.
 
         Args:
             call: The call.
 
         Returns:
-            The outcome, with the answer if it is complete.
+            The outcome, with the answer if it is complete or began well.
         """
         with self._sent_bytes.begin(call.address, call.known_bytes()) as body:
             if not body.is_admitted:
@@ -155,22 +166,28 @@
             if call.on_fresh_connection
             else self._reusing_session
         )
+        deadline = asyncio.get_running_loop().time() + call.timeout_seconds
         timeout = aiohttp.ClientTimeout(
             total=call.timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
         )
         try:
-            async with session.request(
+            request = session.request(
                 call.method,
                 yarl.URL(f"http://{call.address}{call.path}", encoded=True),
                 data=_make_payload(call, report_sent),
                 headers=call.headers,
                 timeout=timeout,
                 allow_redirects=False,
-            ) as resp:
-                body = await answer_stream.read_whole(
-                    resp.content, MAX_ANSWER_BYTES, self._budget
+                read_bufsize=answer_stream.BLOCK_BYTES,
+            )
+            async with contextlib.AsyncExitStack() as stack:
+                resp = await stack.enter_async_context(request)
+                body = await answer_stream.receive(
+                    resp, MAX_ANSWER_BYTES, self._budget, deadline
                 )
-                return _classify_answer(resp, body)
+                if isinstance(body, answer_stream.AnswerStream):
+                    stack.pop_all()
+                return _make_result(resp, body)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -195,19 +212,17 @@
     return call.body or None
 
 
-def _classify_answer(resp: connections.Response, body: bytes) -> SendResult:
-    """Returns the result of an answer that was read to its end.
-
-    A body without a length ends when the connection is closed, so that only a
-    reset shows that it is incomplete.
-    """
-    has_length = "Content-Length" in resp.headers
-    is_chunked = "chunked" in resp.headers.get("Transfer-Encoding", "").lower()
-    if not has_length and not is_chunked and resp.response_protocol.was_reset:
+def _make_result(
+    resp: connections.Response, body: bytes | answer_stream.AnswerStream
+) -> SendResult:
+    """Returns the result of an answer, of which the start was read."""
+    if isinstance(body, answer_stream.AnswerStream):
+        answer = Answer(resp.status, resp.headers, b"", body)
+    elif answer_stream.is_cut(resp):
         return SendResult(
             SendOutcome.BROKEN,
             detail="connection reset before the end of the body",
         )
-    return SendResult(
-        SendOutcome.ANSWERED, Answer(resp.status, resp.headers, body), ""
-    )
+    else:
+        answer = Answer(resp.status, resp.headers, body)
+    return SendResult(SendOutcome.ANSWERED, answer)
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -1,6 +1,7 @@
 """Tests of forwarding, with scripted answers instead of targets."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -207,6 +208,67 @@
         assert not any(target.load.avoid_until for target in targets)
 
 
+class FakeAnswerStream:
+    def __init__(self, failure, is_target_at_fault):
+        self.length = 1_000_000
+        self.failure = failure
+        self.is_target_at_fault = is_target_at_fault
+        self.is_closed = False
+        self.report_end = None
+
+    def on_end(self, report_end):
+        self.report_end = report_end
+
+    def close(self):
+        self.is_closed = True
+
+
+def _make_streamed_answer(stream, *args, **kwargs):
+    result = make_answer(*args, **kwargs)
+    answer = dataclasses.replace(result.answer, body=b"", stream=stream)
+    return dataclasses.replace(result, answer=answer)
+
+
+@pytest.mark.parametrize(
+    ("failure", "is_target_at_fault"),
+    [("", False), ("reset", True), ("reset after a slow caller", False)],
+)
+async def test_large_answer_counts_at_its_target_until_it_ends(
+    harness, failure, is_target_at_fault
+):
+    target = harness.add_target("t1")
+    stream = FakeAnswerStream(failure, is_target_at_fault)
+    harness.client.script = [_make_streamed_answer(stream)]
+    reply = await harness.serve("read")
+    assert reply.stream is stream
+    assert target.load.in_flight == 1
+    before = target.load.failure_rate
+    stream.report_end()
+    assert target.load.in_flight == 0
+    assert (target.load.failure_rate > before) is is_target_at_fault
+    assert not stream.is_closed
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param({"status": 503, "X_Not_Run": "1"}, id="refusal"),
+        pytest.param({"signed": False}, id="invalid"),
+        pytest.param({"status": 500}, id="failure"),
+    ],
+)
+async def test_large_answer_that_is_not_passed_on_is_closed(harness, answer):
+    harness.add_target("t1")
+    harness.add_target("t2")
+    stream = FakeAnswerStream("", False)
+    harness.client.script = [
+        _make_streamed_answer(stream, **answer),
+        make_answer(),
+    ]
+    assert (await harness.serve("read")).body == b"ok"
+    assert stream.is_closed
+
+
 @pytest.mark.parametrize(
     ("route", "script", "status", "attempts"),
     [
