--- a/src/jujubeyard/heads.py
+++ b/src/jujubeyard/heads.py
@@ -169,7 +169,7 @@
         return task
 
 
-class Response(web.Response):
+class ExactHead(web.StreamResponse):
     """Response with no other fields than its own and those of framing."""
 
     async def _prepare_headers(self) -> None:
@@ -192,3 +192,7 @@
         )
         if self._send_headers_immediately:
             writer.send_headers()
+
+
+class Response(ExactHead, web.Response):
+    """Response with an exact head and a body that is known whole."""
--- a/src/jujubeyard/node/attempts.py
+++ b/src/jujubeyard/node/attempts.py
@@ -89,7 +89,7 @@
             self.service.name,
             self.route.name,
             self.call.path.partition("?")[0],
-            len(self.call.body),
+            self.call.body_bytes(),
             self.call.key if self.is_keyed else None,
         )
 
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -1,9 +1,11 @@
 """Forwards calls: matches routes, sends them to targets, retries, replies."""
 
 import collections.abc
+import functools
 import time
 
 from jujubeyard import codes
+from jujubeyard.node import answer_stream
 from jujubeyard.node import answers
 from jujubeyard.node import attempts
 from jujubeyard.node import calls
@@ -33,6 +35,8 @@
 BROKEN_AVOID_SECONDS = 0.5
 UNREACHABLE_AVOID_SECONDS = 1.0
 UNREACHABLE_RETRY_SECONDS = 0.3
+UPLOADS_RETRY_SECONDS = 0.5
+"""When a caller should retry whose body no target has room for."""
 
 
 class Forwarder:
@@ -105,7 +109,7 @@
         if not isinstance(route, config.Route):
             return self._reply_without_route(call, path, route)
         configuration = self._view.routes.configuration
-        if len(call.body) > configuration.max_body_bytes:
+        if not call.limit_body(configuration.max_body_bytes):
             return calls.make_error_reply(codes.ResultCode.BODY_TOO_LARGE)
         service = configuration.services[self._splitter.choose_service(route)]
         timeout_seconds = min(call.timeout_seconds, route.timeout)
@@ -185,6 +189,8 @@
         """Returns whether the call may be sent to a target once more."""
         if state.may_have_run and not state.route.idempotent:
             return False
+        if not state.call.may_be_sent():
+            return False
         return len(state.tried_targets) < max(1, state.route.max_targets)
 
     async def _send_to_target(
@@ -213,8 +219,48 @@
             self.waiting_room.tell_of_room(state.service.name, target_id)
         reply = self._process_result(state, target, result, now)
         state.call.progress.is_known_not_run = not state.may_have_run
+        if result.answer is not None and result.answer.stream is not None:
+            self._follow_stream(state, target, result.answer.stream, reply)
         return reply
 
+    def _follow_stream(
+        self,
+        state: attempts.CallState,
+        target: registry.Target,
+        stream: answer_stream.AnswerStream,
+        reply: calls.Reply | None,
+    ) -> None:
+        """Counts the call at its target until its answer was passed on."""
+        if reply is None or reply.stream is None:
+            stream.close()
+            return
+        target.load.in_flight += 1
+        stream.on_end(
+            functools.partial(self._end_stream, state, target, stream)
+        )
+
+    def _end_stream(
+        self,
+        state: attempts.CallState,
+        target: registry.Target,
+        stream: answer_stream.AnswerStream,
+    ) -> None:
+        """Records the end of an answer that was passed on as it arrived."""
+        target.load.in_flight -= 1
+        if not stream.failure:
+            return
+        if stream.is_target_at_fault:
+            target.load.observe_failure()
+        self._log.log_call(
+            "answer broken off",
+            call=state.call.call_id,
+            service=state.service.name,
+            target=target.listing.target_id,
+            target_at_fault=stream.is_target_at_fault,
+            detail=stream.failure,
+            left=round(state.remaining_seconds(), 3),
+        )
+
     def _make_outgoing_call(self, state, target) -> upstream.OutgoingCall:
         call = state.call
         remaining = state.remaining_seconds()
@@ -236,6 +282,7 @@
             call.call_id,
             remaining,
             not state.route.idempotent or is_repeated,
+            call.stream,
         )
 
     def _process_result(
@@ -260,6 +307,12 @@
                 state, target, result.answer, started_at
             )
         self._log_failed_attempt(state, target, outcome.value, result.detail)
+        if outcome is upstream.SendOutcome.TARGET_FULL:
+            state.latest_code = codes.ResultCode.TARGET_REFUSED
+            state.retry_after = UPLOADS_RETRY_SECONDS
+            return None
+        if outcome is upstream.SendOutcome.CALLER_FAILED:
+            return calls.make_error_reply(state.call.stream.failure)
         target.load.observe_failure()
         if outcome is upstream.SendOutcome.NOT_SENT:
             target.load.avoid_until = now + UNREACHABLE_AVOID_SECONDS
@@ -300,7 +353,7 @@
             return None
         if kind is answers.AnswerKind.SERVED:
             self._record_success(state, target, now - started_at)
-            target.load.observe_size(len(answer.body))
+            target.load.observe_size(answer.known_bytes())
             target.load.room.refusal.observe_acceptance(now)
             return self._make_reply(answer)
         state.may_have_run = True
@@ -403,7 +456,13 @@
         code = codes.ResultCode.OK
         if answer.status >= answers.MIN_SERVER_ERROR_STATUS:
             code = codes.ResultCode.TARGET_ERROR
-        return calls.Reply(code, answer.status, answer.headers, answer.body)
+        return calls.Reply(
+            code,
+            answer.status,
+            answer.headers,
+            answer.body,
+            stream=answer.stream,
+        )
 
     def _log_failed_attempt(self, state, target, outcome: str, detail: str):
         """Logs an attempt that didn't produce a usable answer."""
--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -1,6 +1,8 @@
 """HTTP client that sends calls to targets and classifies the outcomes."""
 
+import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 import enum
 
@@ -10,12 +12,16 @@
 from jujubeyard import bodies
 from jujubeyard import connections
 from jujubeyard import heads
+from jujubeyard import memory
+from jujubeyard.node import answer_stream
+from jujubeyard.node import body_stream
 from jujubeyard.node import protocol
+from jujubeyard.node import sent_bytes
 
 MAX_ANSWER_BYTES = 8 * bodies.MIB
-MAX_BUFFERED_BYTES = 48 * bodies.MIB
-"""Largest size of all answers that are being read. The smallest VMs have 200
-MB, of which a node without calls uses a quarter."""
+MAX_SENT_BYTES_PER_TARGET = 4 * bodies.MIB
+"""Largest size of the bodies that are sent to one target and not answered yet.
+A target holds them in memory; a single larger one is sent all the same."""
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 MIN_SENT_SECONDS = 0.005
@@ -32,21 +38,35 @@
     """The call may have run, but the answer is missing or incomplete."""
 
     TIMED_OUT = "timed out"
+    CALLER_FAILED = "caller broke off"
+    """The caller's body isn't complete. The target isn't at fault."""
+
+    TARGET_FULL = "target has no room"
+    """The target holds too much already. Nothing was sent."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """A target's complete answer.
+    """A target's answer.
 
     Attributes:
         status: HTTP status.
         headers: All headers.
-        body: The complete body.
+        body: The complete body; empty if it is passed on as it arrives.
+        stream: A large body, which is passed on as it arrives; None if the
+            body is complete.
     """
 
     status: int
     headers: collections.abc.Mapping[str, str]
     body: bytes
+    stream: answer_stream.AnswerStream | None = None
+
+    def known_bytes(self) -> int:
+        """Returns the size of the body, or of its start if it isn't known."""
+        if self.stream is None:
+            return len(self.body)
+        return self.stream.length or answer_stream.WHOLE_ANSWER_BYTES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,7 +75,7 @@
 
     Attributes:
         outcome: What is known about the call.
-        answer: The answer; None unless it was complete.
+        answer: The answer; None unless it was complete, or began well.
         detail: Description of the failure for the log.
     """
 
@@ -79,6 +99,7 @@
         on_fresh_connection: Whether the call needs a connection that no call
             has used before, so that the target can't close the connection as
             idle while the call is on its way.
+        stream: The body, if it is passed on as it arrives.
     """
 
     address: str
@@ -89,12 +110,27 @@
     call_id: str
     timeout_seconds: float
     on_fresh_connection: bool
+    stream: body_stream.BodyStream | None = None
+
+    def known_bytes(self) -> int:
+        """Returns the size of the body, or of its start if it is in chunks."""
+        if self.stream is None:
+            return len(self.body)
+        return self.stream.length or body_stream.WHOLE_BODY_BYTES
 
 
 class UpstreamClient:
     """Sends calls to targets over reused or new connections."""
 
-    def __init__(self, header_names: protocol.HeaderNames):
+    def __init__(
+        self, header_names: protocol.HeaderNames, budget: memory.MemoryBudget
+    ):
+        """Initializes the client.
+
+        Args:
+            header_names: Names of the protocol's headers.
+            budget: Memory for the answers of targets.
+        """
         self._call_id_header = header_names.call_id
         self._reusing_session = connections.make_session(
             header_names.call_id, force_close=False
@@ -102,7 +138,8 @@
         self._fresh_session = connections.make_session(
             header_names.call_id, force_close=True
         )
-        self._reader = bodies.BodyReader(MAX_ANSWER_BYTES, MAX_BUFFERED_BYTES)
+        self._budget = budget
+        self._sent_bytes = sent_bytes.SentBytes(MAX_SENT_BYTES_PER_TARGET)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -110,39 +147,62 @@
         await self._fresh_session.close()
 
     async def send(self, call: OutgoingCall) -> SendResult:
-        """Sends a call and waits for its complete answer.
+        """Sends a call and waits for its answer, or the start of a large one.
 
         Args:
             call: The call.
 
         Returns:
-            The outcome, with the answer if it is complete.
+            The outcome, with the answer if it is complete or began well.
         """
+        with self._sent_bytes.begin(call.address, call.known_bytes()) as body:
+            if not body.is_admitted:
+                return SendResult(SendOutcome.TARGET_FULL)
+            return await self._send(call, body.count)
+
+    async def _send(
+        self,
+        call: OutgoingCall,
+        report_sent: collections.abc.Callable[[int], None],
+    ) -> SendResult:
+        """Sends a call for which its target has room."""
         session = (
             self._fresh_session
             if call.on_fresh_connection
             else self._reusing_session
         )
+        deadline = asyncio.get_running_loop().time() + call.timeout_seconds
         timeout = _make_timeout(call.timeout_seconds)
         try:
-            async with session.request(
+            request = session.request(
                 call.method,
                 yarl.URL(f"http://{call.address}/"),
-                data=call.body or None,
+                data=_make_payload(call, report_sent),
                 headers=self._make_headers(call),
                 timeout=timeout,
                 allow_redirects=False,
-            ) as resp:
-                body = await self._reader.read(resp.content)
-                return _classify_answer(resp, body)
+                read_bufsize=answer_stream.BLOCK_BYTES,
+            )
+            async with contextlib.AsyncExitStack() as stack:
+                resp = await stack.enter_async_context(request)
+                body = await answer_stream.receive(
+                    resp, MAX_ANSWER_BYTES, self._budget, deadline
+                )
+                if isinstance(body, answer_stream.AnswerStream):
+                    stack.pop_all()
+                return _make_result(resp, body)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as exc:
             return SendResult(SendOutcome.NOT_SENT, detail=repr(exc))
         except TimeoutError as exc:
+            if call.stream is not None and call.stream.note_timeout():
+                return SendResult(SendOutcome.CALLER_FAILED, detail=repr(exc))
             return SendResult(SendOutcome.TIMED_OUT, detail=repr(exc))
         except (aiohttp.ClientError, OSError, ValueError) as exc:
+            if call.stream is not None and call.stream.failure is not None:
+                return SendResult(SendOutcome.CALLER_FAILED, detail=repr(exc))
             return SendResult(SendOutcome.BROKEN, detail=repr(exc))
 
     def _make_headers(self, call: OutgoingCall) -> dict[str, str]:
@@ -165,20 +225,27 @@
     )
 
 
-def _classify_answer(resp: connections.Response, body: bytes) -> SendResult:
-    """Returns the result of an answer that was read to its end.
+def _make_payload(
+    call: OutgoingCall, report_sent: collections.abc.Callable[[int], None]
+) -> body_stream.StreamPayload | bytes | None:
+    """Returns the body of a request, as the session takes it."""
+    if call.stream is not None:
+        return body_stream.StreamPayload(call.stream, report_sent)
+    return call.body or None
 
-    A body without a length ends when the connection is closed, so that only a
-    reset shows that it is incomplete.
-    """
-    has_length = "Content-Length" in resp.headers
-    is_chunked = "chunked" in resp.headers.get("Transfer-Encoding", "").lower()
-    if not has_length and not is_chunked and resp.response_protocol.was_reset:
+
+def _make_result(
+    resp: connections.Response, body: bytes | answer_stream.AnswerStream
+) -> SendResult:
+    """Returns the result of an answer, of which the start was read."""
+    headers = heads.decode_fields(resp.raw_headers)
+    if isinstance(body, answer_stream.AnswerStream):
+        answer = Answer(resp.status, headers, b"", body)
+    elif answer_stream.is_cut(resp):
         return SendResult(
             SendOutcome.BROKEN,
             detail="connection reset before the end of the body",
         )
-    headers = heads.decode_fields(resp.raw_headers)
-    return SendResult(
-        SendOutcome.ANSWERED, Answer(resp.status, headers, body), ""
-    )
+    else:
+        answer = Answer(resp.status, headers, body)
+    return SendResult(SendOutcome.ANSWERED, answer)
--- a/src/jujubeyard/node/waiting_room.py
+++ b/src/jujubeyard/node/waiting_room.py
@@ -292,7 +292,7 @@
         waiter: waiting.Waiter,
     ) -> _Place:
         """Returns the call's place; it may be refused there at once."""
-        place = _Place(waiter, len(state.call.body))
+        place = _Place(waiter, state.call.body_bytes())
         line.places[waiter] = place
         self._waiting_calls += 1
         self._waiting_bytes += place.body_bytes
--- a/tests/node/test_exact_messages.py
+++ b/tests/node/test_exact_messages.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 import pytest
 
+from jujubeyard import memory
 from jujubeyard.node import server
 from jujubeyard.node import settings
 from jujubeyard.node import upstream
@@ -219,7 +220,8 @@
         self.target = Target()
 
     async def open(self):
-        self.client = upstream.UpstreamClient(NAMES)
+        budget = memory.MemoryBudget(test_upstream.MAX_HELD_BYTES)
+        self.client = upstream.UpstreamClient(NAMES, budget)
         self.listener = await asyncio.start_server(
             self.target.serve, "127.0.0.1", 0
         )
@@ -229,6 +231,7 @@
             NAMES,
             None,
             lambda call: False,
+            budget,
         )
         await self.server.start(self.address)
 
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -1,6 +1,7 @@
 """Tests of forwarding, with scripted answers instead of targets."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -114,7 +115,7 @@
         shard = table.Shard(0, 65535, owner, fence, "")
         self.view.apply_table(table.ShardTable("desk", (shard,), revision))
 
-    async def serve(self, route, key=None, seconds=2.0, body=b""):
+    async def serve(self, route, key=None, seconds=2.0, body=b"", stream=None):
         loop = asyncio.get_running_loop()
         call = calls.Call(
             "c1",
@@ -126,6 +127,7 @@
             key,
             loop.time(),
             seconds,
+            stream,
         )
         self.call = call
         return await self.forwarder.serve(call)
@@ -156,11 +158,121 @@
 NOT_RUN_WITHOUT_HEADER = make_answer(503)
 
 
+CALLER_FAILED = upstream.SendResult(upstream.SendOutcome.CALLER_FAILED)
+TARGET_FULL = upstream.SendResult(upstream.SendOutcome.TARGET_FULL)
+
+
+class FakeStream:
+    length = 100_000
+
+    def __init__(self, is_held, failure=None):
+        self.is_held = is_held
+        self.failure = failure
+
+    def limit(self, max_bytes):
+        return True
+
+
 @pytest.fixture
 def harness():
     return Harness()
 
 
+@pytest.mark.parametrize(
+    ("script", "stream", "status", "attempts"),
+    [
+        pytest.param(
+            [NOT_RUN, make_answer()], FakeStream(True), 200, 2, id="held"
+        ),
+        pytest.param([NOT_RUN], FakeStream(False), 503, 1, id="not held"),
+        pytest.param([BROKEN], FakeStream(False), 502, 1, id="broken"),
+        pytest.param(
+            [CALLER_FAILED],
+            FakeStream(False, codes.ResultCode.DEADLINE_EXCEEDED),
+            504,
+            1,
+            id="caller too slow",
+        ),
+        pytest.param(
+            [TARGET_FULL, make_answer()], FakeStream(True), 200, 2, id="full"
+        ),
+        pytest.param(
+            [TARGET_FULL] * 2, FakeStream(True), 503, 2, id="all full"
+        ),
+    ],
+)
+async def test_body_in_transit_is_sent_again_only_while_it_is_held(
+    harness, script, stream, status, attempts
+):
+    targets = [harness.add_target("t1"), harness.add_target("t2")]
+    harness.client.script = list(script)
+    reply = await harness.serve("read", stream=stream)
+    assert (reply.status, len(harness.client.sent)) == (status, attempts)
+    if CALLER_FAILED in script or TARGET_FULL in script:
+        assert not any(target.load.avoid_until for target in targets)
+
+
+class FakeAnswerStream:
+    def __init__(self, failure, is_target_at_fault):
+        self.length = 1_000_000
+        self.failure = failure
+        self.is_target_at_fault = is_target_at_fault
+        self.is_closed = False
+        self.report_end = None
+
+    def on_end(self, report_end):
+        self.report_end = report_end
+
+    def close(self):
+        self.is_closed = True
+
+
+def _make_streamed_answer(stream, *args, **kwargs):
+    result = make_answer(*args, **kwargs)
+    answer = dataclasses.replace(result.answer, body=b"", stream=stream)
+    return dataclasses.replace(result, answer=answer)
+
+
+@pytest.mark.parametrize(
+    ("failure", "is_target_at_fault"),
+    [("", False), ("reset", True), ("reset after a slow caller", False)],
+)
+async def test_large_answer_counts_at_its_target_until_it_ends(
+    harness, failure, is_target_at_fault
+):
+    target = harness.add_target("t1")
+    stream = FakeAnswerStream(failure, is_target_at_fault)
+    harness.client.script = [_make_streamed_answer(stream)]
+    reply = await harness.serve("read")
+    assert reply.stream is stream
+    assert target.load.in_flight == 1
+    before = target.load.failure_rate
+    stream.report_end()
+    assert target.load.in_flight == 0
+    assert (target.load.failure_rate > before) is is_target_at_fault
+    assert not stream.is_closed
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param({"status": 503, "X_Not_Run": "1"}, id="refusal"),
+        pytest.param({"signed": False}, id="invalid"),
+        pytest.param({"status": 500}, id="failure"),
+    ],
+)
+async def test_large_answer_that_is_not_passed_on_is_closed(harness, answer):
+    harness.add_target("t1")
+    harness.add_target("t2")
+    stream = FakeAnswerStream("", False)
+    harness.client.script = [
+        _make_streamed_answer(stream, **answer),
+        make_answer(),
+    ]
+    assert (await harness.serve("read")).body == b"ok"
+    assert stream.is_closed
+
+
 @pytest.mark.parametrize(
     ("route", "script", "status", "attempts"),
     [
