--- a/src/jujubeyard/node/attempts.py
+++ b/src/jujubeyard/node/attempts.py
@@ -6,6 +6,8 @@
 from jujubeyard import codes
 from jujubeyard.node import calls
 from jujubeyard.routing import config
+from jujubeyard.scheduling import tracking
+from jujubeyard.scheduling import work
 
 MIN_REMAINING_SECONDS = 0.03
 """Remaining time below which a call isn't sent to a target any more."""
@@ -13,6 +15,23 @@
 NO_TARGET_RETRY_SECONDS = 0.4
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LackOfRoom:
+    """Why a target had no room for a call.
+
+    Attributes:
+        target_id: The target.
+        expected_seconds: Estimated duration of the call there.
+        bound_seconds: How long it may have taken.
+        report_age_seconds: Age of the target's latest load report.
+    """
+
+    target_id: str
+    expected_seconds: float
+    bound_seconds: float
+    report_age_seconds: float
+
+
 @dataclasses.dataclass(slots=True)
 class CallState:
     """The state of a call across the attempts to serve it.
@@ -29,11 +48,17 @@
         fence: Fence of the grant by which the key's owner holds its shard.
         queue_ratio: Value of `TargetLoad.queue_ratio()` for the target of the
             latest attempt, when the call was sent.
+        sent: Estimated and observed work of the latest attempt; None before
+            the first one.
         latest_code: Result code of the latest attempt.
         retry_after: When the caller should retry if the call is refused, in
             seconds.
         lacks_room: Whether the latest selection found no target only because
             none has room for the call; `retry_after` says when one will.
+        lack: Why the latest target that was tried had no room, if the call may
+            wait.
+        may_wait: Whether the call may wait at the node for room.
+        rank: Number of priorities of the service that go before the call's.
     """
 
     call: calls.Call
@@ -45,15 +70,29 @@
     may_have_run: bool = False
     fence: int = 0
     queue_ratio: float = 0.0
+    sent: tracking.SentCall | None = None
     latest_code: codes.ResultCode = codes.ResultCode.NO_TARGET
     retry_after: float = NO_TARGET_RETRY_SECONDS
     lacks_room: bool = False
+    lack: LackOfRoom | None = None
+    may_wait: bool = False
+    rank: int = 0
 
     @property
     def is_keyed(self) -> bool:
         """Whether only the owner of the call's key may serve it."""
         return self.service.keyed and self.call.key is not None
 
+    def traits(self) -> work.CallTraits:
+        """Returns what tells the work of the call before it is sent."""
+        return work.CallTraits(
+            self.service.name,
+            self.route.name,
+            self.call.path.partition("?")[0],
+            len(self.call.body),
+            self.call.key if self.is_keyed else None,
+        )
+
     def remaining_seconds(self) -> float:
         """Returns the time until the deadline, in seconds."""
         return self.deadline - time.monotonic()
--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -152,6 +152,7 @@
             decoder.change_for_malformed_item,
             log,
         )
+        self._metrics.watch_unreadable(self._view.count_unreadable)
         self._store_session = connections.make_session(
             header_names.call_id, force_close=False
         )
@@ -300,6 +301,7 @@
             min(started_at + REFUSE_AFTER_SECONDS, stop_by)
         )
         self._server.is_refusing_calls = True
+        self._forwarder.waiting_room.close()
         await self._wait_until_idle(stop_by)
         await self._server.stop_listening()
         self._server.end_calls()
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -11,33 +11,21 @@
 from jujubeyard.node import journal
 from jujubeyard.node import metrics
 from jujubeyard.node import owners
+from jujubeyard.node import passing
 from jujubeyard.node import protocol
 from jujubeyard.node import reporting
 from jujubeyard.node import selection
 from jujubeyard.node import settings
 from jujubeyard.node import upstream
+from jujubeyard.node import waiting_room
 from jujubeyard.routing import admission
+from jujubeyard.routing import config
 from jujubeyard.routing import retries
 from jujubeyard.routing import split
 from jujubeyard.targets import loads
 from jujubeyard.targets import notices
 from jujubeyard.targets import registry
 
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    }
-)
-"""Headers that apply to a single connection and aren't forwarded."""
-
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 NOT_CONFIGURED_RETRY_SECONDS = 0.5
@@ -52,6 +40,7 @@
 
     Attributes:
         owner_lookup: Finds the owners of keys.
+        waiting_room: Lets calls wait until a target has room.
     """
 
     def __init__(
@@ -93,10 +82,10 @@
         self._selector = selection.TargetSelector(
             cfg, view, self.owner_lookup, metric_set, log
         )
-        self._router_headers = {
-            header_names.deadline.lower(),
-            header_names.expected_target.lower(),
-        }
+        self.waiting_room = waiting_room.WaitingRoom(
+            view, self._selector, self.owner_lookup, metric_set, log
+        )
+        self._header_filter = passing.HeaderFilter(header_names)
 
     async def serve(self, call: calls.Call) -> calls.Reply:
         """Forwards a call to a target and returns the reply to it.
@@ -113,8 +102,8 @@
             )
         path = call.path.partition("?")[0]
         route = self._view.routes.find(call.host, path)
-        if route is None:
-            return self._reply_without_route(call, path)
+        if not isinstance(route, config.Route):
+            return self._reply_without_route(call, path, route)
         configuration = self._view.routes.configuration
         if len(call.body) > configuration.max_body_bytes:
             return calls.make_error_reply(codes.ResultCode.BODY_TOO_LARGE)
@@ -125,6 +114,7 @@
         )
         if state.is_keyed:
             self._reporter.meter(service.name).count_call(call.key)
+        call.progress.is_known_not_run = True
         reply = await self._try_targets(state)
         self._record_reply(state, reply)
         return reply
@@ -135,15 +125,30 @@
             return False
         path = call.path.partition("?")[0]
         route = self._view.routes.find(call.host, path)
-        return route is not None and route.idempotent
+        return isinstance(route, config.Route) and route.idempotent
+
+    def _reply_without_route(
+        self,
+        call: calls.Call,
+        path: str,
+        unreadable: config.UnreadableRoute | None,
+    ) -> calls.Reply:
+        """Returns the reply to a call that matches no readable route.
 
-    def _reply_without_route(self, call: calls.Call, path: str) -> calls.Reply:
-        """Returns the reply to a call that matches no route.
+        It is only denied if no configuration may have a route for it: a newer
+        one may be known but not read yet.
 
-        While a newer configuration is known but not read yet, it may have the
-        route.
+        Args:
+            call: The call.
+            path: Its path without the query.
+            unreadable: The route that it matches and that can't be read.
         """
         is_outdated = self._view.is_configuration_outdated()
+        may_be_allowed = (
+            unreadable is not None
+            or is_outdated
+            or self._view.routes.may_lack_route(call.host)
+        )
         self._log.log_call(
             "call matches no route",
             call=call.call_id,
@@ -151,8 +156,9 @@
             path=path,
             version=self._view.routes.configuration.version,
             outdated=is_outdated,
+            unreadable=unreadable.name if unreadable else "",
         )
-        if is_outdated:
+        if may_be_allowed:
             return calls.make_error_reply(
                 codes.ResultCode.NOT_CONFIGURED, NOT_CONFIGURED_RETRY_SECONDS
             )
@@ -163,7 +169,7 @@
         service = state.service.name
         self._retry_budget.earn(service, self._view.node_count())
         while state.remaining_seconds() > attempts.MIN_REMAINING_SECONDS:
-            target = await self._selector.select(state)
+            target = await self.waiting_room.select(state)
             if target is None:
                 break
             if state.tried_targets and not self._retry_budget.spend(service):
@@ -194,14 +200,20 @@
         self._selector.record_call(target, now)
         state.tried_targets.append(target_id)
         state.queue_ratio = target.load.queue_ratio(target.listing.slots, now)
+        self._selector.begin_work(state, target, now)
         target.load.in_flight += 1
+        state.call.progress.is_known_not_run = False
         try:
             result = await self._client.send(
                 self._make_outgoing_call(state, target)
             )
         finally:
             target.load.in_flight -= 1
-        return self._process_result(state, target, result, now)
+            self._selector.work.end(state.sent, target)
+            self.waiting_room.tell_of_room(state.service.name, target_id)
+        reply = self._process_result(state, target, result, now)
+        state.call.progress.is_known_not_run = not state.may_have_run
+        return reply
 
     def _make_outgoing_call(self, state, target) -> upstream.OutgoingCall:
         call = state.call
@@ -209,14 +221,7 @@
         # A target's first answer to this call must not be read again.
         is_repeated = target.listing.target_id in state.contacted_targets
         state.contacted_targets.add(target.listing.target_id)
-        connection_options = _connection_options(call.headers)
-        headers = [
-            (name, text)
-            for name, text in call.headers
-            if name.lower() not in HOP_BY_HOP_HEADERS
-            and name.lower() not in self._router_headers
-            and name.lower() not in connection_options
-        ]
+        headers = self._header_filter.filter_request(call.headers)
         milliseconds = max(1, int(remaining * 1000))
         headers.append((self._header_names.deadline, str(milliseconds)))
         headers.append(
@@ -335,6 +340,11 @@
         """
         work_seconds = target.load.observe_success(seconds, state.queue_ratio)
         self._selector.record_work(state, work_seconds)
+        tracker = self._selector.work
+        tracker.observe(state.sent, target, seconds, time.monotonic())
+        self._metrics.observe_work(
+            state.service.name, state.sent, tracker.model.size()
+        )
         if state.is_keyed:
             meter = self._reporter.meter(state.service.name)
             meter.count_work(target.listing.target_id, work_seconds)
@@ -414,6 +424,7 @@
         """Counts and logs a reply."""
         seconds = time.monotonic() - state.call.received_at
         service = state.service.name
+        sent = state.sent
         self._metrics.count_call(service, reply.code, seconds)
         self._log.log_call(
             "call answered",
@@ -426,15 +437,8 @@
             code=int(reply.code),
             status=reply.status,
             seconds=round(seconds, 4),
+            work_expected=round(sent.expected_processing, 4) if sent else 0.0,
+            work_observed=round(sent.processing, 4) if sent else 0.0,
             retry_after=round(reply.retry_after, 3),
             version=self._view.routes.configuration.version,
         )
-
-
-def _connection_options(headers) -> set[str]:
-    """Returns the names that Connection headers list, in lower case."""
-    options = set()
-    for name, text in headers:
-        if name.lower() == "connection":
-            options.update(part.strip().lower() for part in text.split(","))
-    return options
--- a/src/jujubeyard/node/metrics.py
+++ b/src/jujubeyard/node/metrics.py
@@ -1,9 +1,14 @@
 """Prometheus metrics of a node."""
 
+import collections
+import collections.abc
+
 import prometheus_client
 
 from jujubeyard import codes
 from jujubeyard.internal import labelled_metrics
+from jujubeyard.routing import config
+from jujubeyard.scheduling import tracking
 
 LATENCY_BUCKETS_SECONDS = (
     0.01,
@@ -20,6 +25,8 @@
     4.0,
 )
 
+WORK_RATIO_BUCKETS = (0.1, 0.25, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0, 10.0)
+
 
 class Metrics:
     """The metrics of a node process.
@@ -80,6 +87,38 @@
             )
         )
 
+        self._waiting = labelled_metrics.LabelledMetric(
+            prometheus_client.Gauge(
+                "jujubeyard_waiting_calls",
+                "Calls that wait for room by service and priority.",
+                ["service", "urgency"],
+                registry=self.registry,
+            )
+        )
+        self._wait_seconds = labelled_metrics.LabelledMetric(
+            prometheus_client.Histogram(
+                "jujubeyard_wait_seconds",
+                "Time that calls waited for room by service and outcome.",
+                ["service", "outcome"],
+                buckets=LATENCY_BUCKETS_SECONDS,
+                registry=self.registry,
+            )
+        )
+        self._work_ratio = labelled_metrics.LabelledMetric(
+            prometheus_client.Histogram(
+                "jujubeyard_work_ratio",
+                "Observed processing time of a call by the expected one.",
+                ["service"],
+                buckets=WORK_RATIO_BUCKETS,
+                registry=self.registry,
+            )
+        )
+        self._work_groups = prometheus_client.Gauge(
+            "jujubeyard_work_groups",
+            "Groups of similar calls whose work is kept.",
+            registry=self.registry,
+        )
+
     def count_call(
         self, service: str, code: codes.ResultCode, seconds: float
     ) -> None:
@@ -125,6 +164,63 @@
         self._queue_limit.child(service).set(known_limit)
         self._refusing_targets.child(service).set(refusing)
 
+    def add_waiting(self, service: str, urgency: int, count: int) -> None:
+        """Changes the number of calls that wait for room.
+
+        Args:
+            service: Name of the service.
+            urgency: Priority of the calls' route.
+            count: Increase; negative if calls wait no longer.
+        """
+        self._waiting.child(service, str(urgency)).inc(count)
+
+    def observe_wait(self, service: str, outcome: str, seconds: float) -> None:
+        """Counts a call that waits no longer.
+
+        Args:
+            service: Name of the service.
+            outcome: Why it waits no longer.
+            seconds: How long it has waited.
+        """
+        self._wait_seconds.child(service, outcome).observe(seconds)
+
+    def observe_work(
+        self, service: str, sent: tracking.SentCall, groups: int
+    ) -> None:
+        """Records how well the work of an answered call was estimated.
+
+        Args:
+            service: Name of the service.
+            sent: The call.
+            groups: Number of groups of calls whose work is kept.
+        """
+        self._work_groups.set(groups)
+        if sent.expected_processing:
+            ratio = sent.processing / sent.expected_processing
+            self._work_ratio.child(service).observe(ratio)
+
+    def watch_unreadable(
+        self,
+        count: collections.abc.Callable[
+            [], collections.Counter[config.EntryKind]
+        ],
+    ) -> None:
+        """Adds a gauge of the configuration's unreadable entries.
+
+        Args:
+            count: Returns how many entries in force can't be read, by kind.
+        """
+        gauge = prometheus_client.Gauge(
+            "jujubeyard_unreadable_entries",
+            "Entries of the configuration in force that can't be read.",
+            ["kind"],
+            registry=self.registry,
+        )
+        for kind in config.EntryKind:
+            gauge.labels(kind.value).set_function(
+                lambda kind=kind: count()[kind]
+            )
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -12,12 +12,14 @@
 from jujubeyard.node import owners
 from jujubeyard.node import settings
 from jujubeyard.routing import admission
-from jujubeyard.routing import balancing
 from jujubeyard.routing import bounds
 from jujubeyard.routing import coldstart
 from jujubeyard.routing import config
+from jujubeyard.scheduling import balancing
+from jujubeyard.scheduling import queue_bounds
 from jujubeyard.scheduling import refusals
 from jujubeyard.scheduling import room
+from jujubeyard.scheduling import tracking
 from jujubeyard.targets import loads
 from jujubeyard.targets import registry
 
@@ -28,7 +30,10 @@
     """Selects targets among those that the node's view lists.
 
     Attributes:
+        queue_bounds: Bounds on the queues at targets where calls wait at the
+            node.
         route_work: Processing times of calls by service and route.
+        work: Estimated work of calls and of what is left at targets.
     """
 
     def __init__(
@@ -62,7 +67,9 @@
         self._rng = random.Random()
         self._call_bounds = bounds.CallBounds()
         self._room_keeper = room.RoomKeeper(self._rng)
+        self.queue_bounds = queue_bounds.QueueBounds()
         self.route_work = loads.RouteWork()
+        self.work = tracking.WorkTracker()
 
     def record_call(self, target: registry.Target, now: float) -> None:
         """Records that a call is being sent to a target.
@@ -74,6 +81,20 @@
         if target.is_cold(now):
             self._cold_start_limiter.record_call(target.listing.target_id, now)
 
+    def begin_work(
+        self, state: attempts.CallState, target: registry.Target, now: float
+    ) -> None:
+        """Adds a call that is being sent to a target to its backlog.
+
+        Args:
+            state: The call.
+            target: The target.
+            now: Monotonic time, in seconds.
+        """
+        state.sent = self.work.begin(
+            state.traits(), target, self._view.node_count(), now
+        )
+
     def record_work(self, state: attempts.CallState, seconds: float) -> None:
         """Records the processing time of a successful call, in seconds."""
         self.route_work.observe(state.service.name, state.route.name, seconds)
@@ -135,7 +156,12 @@
         if candidates and not self._has_room(state, candidates, paced, now):
             return None
         target = balancing.choose_target(
-            candidates, self._cfg.zone, nodes, now, self._rng
+            candidates,
+            self._cfg.zone,
+            nodes,
+            now,
+            self._rng,
+            self.work.estimate(state.traits(), nodes),
         )
         if target is None and not state.tried_targets:
             state.latest_code = codes.ResultCode.NO_TARGET
@@ -220,6 +246,22 @@
             target.listing.target_id, service.cold_rate, self._view.nodes, now
         )
 
+    def _latency_bound(
+        self,
+        state: attempts.CallState,
+        target: registry.Target,
+        relative_work: float,
+        paced: room.PacedCall,
+    ) -> float:
+        """Returns how long a call may take at a target, in seconds."""
+        service = state.service.name
+        if not state.may_wait:
+            return paced.bound_seconds
+        work_seconds = target.load.work_seconds()
+        return relative_work * work_seconds + self.queue_bounds.seconds(
+            service, state.rank, work_seconds
+        )
+
     def _admit(
         self,
         state: attempts.CallState,
@@ -251,7 +293,7 @@
             target.listing.slots, now, relative_work
         )
         objective = state.route.objective
-        bound = paced.bound_seconds
+        bound = self._latency_bound(state, target, relative_work, paced)
         nodes = self._view.node_count()
         is_full = not admission.has_spare_connection(
             target, service.max_connections, nodes
@@ -259,6 +301,7 @@
         if is_full or admission.should_refuse(
             expected_seconds, bound, state.remaining_seconds()
         ):
+            state.lacks_room = True
             state.latest_code = codes.ResultCode.OVERLOADED
             state.lacks_room = True
             state.retry_after = admission.retry_after(
@@ -267,6 +310,14 @@
             if not paced.is_new:
                 return False
             self._metrics.count_lacking_room(service.name, paced.urgency)
+            if state.may_wait:
+                state.lack = attempts.LackOfRoom(
+                    target.listing.target_id,
+                    expected_seconds,
+                    bound,
+                    now - target.load.reported_at,
+                )
+                return False
             self._log.log_call(
                 "call refused, target overloaded",
                 call=state.call.call_id,
--- a/src/jujubeyard/scheduling/__init__.py
+++ b/src/jujubeyard/scheduling/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions under load: room at targets, pacing, refusals."""
+"""Decisions under load: room at targets, who gets it, what calls cost."""
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -77,6 +77,7 @@
         self.log = fakes.RecordingJournal()
         prefixes = changes.Prefixes("op/", "targets/", "own/")
         self.view = cluster_view.ClusterView(prefixes, None, None, self.log)
+        self.call = None
         self.view.nodes = {"n1"}
         self.view.routes = match.RouteTable(
             config.Configuration(1, ROUTES, SERVICES, 1000)
@@ -126,6 +127,7 @@
             loop.time(),
             seconds,
         )
+        self.call = call
         return await self.forwarder.serve(call)
 
 
@@ -231,6 +233,25 @@
         assert reply.retry_after > 0.0
 
 
+@pytest.mark.parametrize(
+    ("result", "is_known_not_run"),
+    [(NOT_RUN, True), (NOT_SENT, True), (BROKEN, False), (TIMED_OUT, False)],
+)
+async def test_progress_says_whether_a_call_may_have_run(
+    harness, result, is_known_not_run
+):
+    async def send(call):
+        seen.append(harness.call.progress.is_known_not_run)
+        return result
+
+    seen = []
+    harness.add_target("t1")
+    harness.client.script = [send]
+    await harness.serve("order")
+    assert seen == [False]
+    assert harness.call.progress.is_known_not_run is is_known_not_run
+
+
 async def test_retry_goes_to_another_target(harness):
     harness.add_target("t1")
     harness.add_target("t2")
@@ -444,6 +465,34 @@
     assert fresh == [False, True]
 
 
+@pytest.mark.parametrize(
+    ("unreadable", "path", "status"),
+    [
+        (("u", "a.example", "/read/"), "read", 503),
+        (("u", "a.example", "/read/1/"), "read/1", 503),
+        (("u", "a.example", "/read/2/"), "read", 200),
+        (("u", "a.example", None), "read", 200),
+        (("u", "a.example", None), "nowhere", 503),
+        (("u", "b.example", None), "nowhere", 404),
+        (("u", None, None), "nowhere", 503),
+    ],
+)
+async def test_call_of_an_unreadable_route_is_refused_and_not_denied(
+    harness, unreadable, path, status
+):
+    harness.view.routes = match.RouteTable(
+        config.Configuration(
+            2, ROUTES, SERVICES, 1000, (config.UnreadableRoute(*unreadable),)
+        )
+    )
+    harness.add_target("t1")
+    harness.client.script = [make_answer()]
+    reply = await harness.serve(path)
+    assert reply.status == status
+    assert len(harness.client.sent) == (status == 200)
+    assert (reply.retry_after > 0.0) is (status == 503)
+
+
 @pytest.mark.parametrize(("is_outdated", "status"), [(False, 404), (True, 503)])
 async def test_route_is_not_denied_while_a_newer_configuration_is_known(
     harness, is_outdated, status
