Let calls that wait for room earn it

A call that waits at the node and tries again earned no credit after its first try, and calls behind it don't try at all: with a share below 1 it waited until the owner's queue was short again, however few calls the node sent meanwhile. Its tries also counted as calls when the bound on the calls of its service was averaged.

While calls wait, credit now grows with time, as often as calls came before; the bound counts each call once.

--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -122,11 +122,12 @@
     def _make_paced_call(self, state: attempts.CallState) -> room.PacedCall:
         """Returns what the admission of a call depends on."""
         service, route = state.service, state.route
+        if state.lacks_room:
+            bound = self._call_bounds.current(service.name)
+            return room.PacedCall(service.name, route.urgency, False, bound)
         bound = self._call_bounds.observe(service.name, route.objective)
-        paced = room.PacedCall(
-            service.name, route.urgency, not state.lacks_room, bound
-        )
-        if paced.is_new and not state.tried_targets:
+        paced = room.PacedCall(service.name, route.urgency, True, bound)
+        if not state.tried_targets:
             self._room_keeper.observe_call(paced)
         return paced
 
@@ -182,6 +183,8 @@
 
         If not, the result code and the retry time are set in the state.
         """
+        if targets[0].load.room.limit.current(now) is None:
+            return True
         slots = statistics.fmean(target.listing.slots for target in targets)
         work_seconds = targets[0].load.service_work.mean()
         decision = self._room_keeper.admit_to_any(
--- a/src/jujubeyard/routing/bounds.py
+++ b/src/jujubeyard/routing/bounds.py
@@ -54,3 +54,11 @@
         bound = self._bounds.setdefault(service, ServiceBound())
         bound.observe(objective)
         return bound.seconds()
+
+    def current(self, service: str) -> float:
+        """Returns how long calls of a service may take.
+
+        Args:
+            service: Name of the service; a call of it must be observed.
+        """
+        return self._bounds[service].seconds()
--- a/src/jujubeyard/scheduling/room.py
+++ b/src/jujubeyard/scheduling/room.py
@@ -155,6 +155,8 @@
         credit = room.credits.of(call.urgency, now)
         if call.is_new:
             credit.earn(share, now)
+        else:
+            credit.earn_waiting(share, now)
         is_admitted = credit.spend()
         level = room.controller.level
         excess_seconds = (waiting - level.waiting) * level.seconds_per_call
--- a/src/jujubeyard/scheduling/thinning.py
+++ b/src/jujubeyard/scheduling/thinning.py
@@ -3,8 +3,8 @@
 A share for all calls is divided between the priorities by their part of the
 node's calls: the least urgent are thinned first, but none of them is starved.
 Admission is paced by credit: each new call earns its share of one, and a call
-is admitted for a whole one. A call that waits for room earns nothing more, and
-may use what later calls leave.
+is admitted for a whole one. Calls that wait for room keep others from trying;
+they earn in their place, as often as calls came before.
 """
 
 import dataclasses
@@ -20,6 +20,10 @@
 """Factor that each new call applies to the weight of earlier ones."""
 
 INTERVAL_SMOOTHING = 0.1
+MIN_INTERVAL_SECONDS = 0.05
+MAX_INTERVAL_SECONDS = 1.0
+"""Bounds on the time in which a waiting call earns the share of one call."""
+
 MAX_URGENCIES = 16
 """Largest number of priorities that are told apart; the others count as the
 least urgent of them."""
@@ -70,12 +74,14 @@
     Attributes:
         calls: Number of calls that may be admitted.
         called_at: When the latest call came, in monotonic seconds.
+        earned_at: When credit was last added.
         interval_seconds: Smoothed time between two calls.
     """
 
     calls: float
     called_at: float
-    interval_seconds: float = 1.0
+    earned_at: float
+    interval_seconds: float = MAX_INTERVAL_SECONDS
 
     def earn(self, share: float, now: float) -> None:
         """Adds the share of one call that has come.
@@ -89,7 +95,27 @@
             elapsed - self.interval_seconds
         )
         self.called_at = now
-        self.calls = min(self.calls + share, MAX_CREDIT)
+        self._add(share, now)
+
+    def earn_waiting(self, share: float, now: float) -> None:
+        """Adds what a call has earned by waiting since credit was last added.
+
+        Args:
+            share: Share of the calls to admit.
+            now: Monotonic time, in seconds.
+        """
+        elapsed = now - self.earned_at
+        self._add(share * elapsed / self._waiting_interval(), now)
+
+    def _add(self, calls: float, now: float) -> None:
+        self.calls = min(self.calls + calls, MAX_CREDIT)
+        self.earned_at = now
+
+    def _waiting_interval(self) -> float:
+        return min(
+            max(self.interval_seconds, MIN_INTERVAL_SECONDS),
+            MAX_INTERVAL_SECONDS,
+        )
 
     def spend(self) -> bool:
         """Takes a call from the credit; returns whether there was one."""
@@ -101,7 +127,7 @@
     def seconds_until_call(self, share: float) -> float:
         """Returns when the credit will suffice for a call, in seconds."""
         missing = max(0.0, 1.0 - self.calls)
-        return missing / share * self.interval_seconds
+        return missing / share * self._waiting_interval()
 
 
 class Credits:
@@ -127,5 +153,7 @@
         rank = min(urgency, MAX_URGENCIES)
         credit = self._by_urgency.get(rank)
         if credit is None:
-            credit = self._by_urgency[rank] = Credit(self._rng.random(), now)
+            credit = self._by_urgency[rank] = Credit(
+                self._rng.random(), now, now
+            )
         return credit
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -8,6 +8,7 @@
 from jujubeyard.scheduling import pacing
 from jujubeyard.scheduling import queue_limits
 from jujubeyard.scheduling import refusals
+from jujubeyard.scheduling import thinning
 
 SLOTS = 4
 
@@ -132,3 +133,14 @@
     assert controller.share(0.5) == 1.0
     controller.set_level(pacing.QueueLevel(6.0, 0.1), 16.0)
     assert controller.share(0.5) < 0.2
+
+
+def test_a_waiting_call_earns_room_as_often_as_calls_came():
+    credit = thinning.Credit(0.0, 0.0, 0.0)
+    for step in range(1, 60):
+        credit.earn(0.0, 0.1 * step)
+    tries = 0
+    while not credit.spend():
+        tries += 1
+        credit.earn_waiting(0.25, 5.9 + 0.05 * tries)
+    assert 0.3 <= 0.05 * tries <= 0.5
