Take what a route is owed from the service's shares, not from a queue

Seen by reading: the queue of an owner that had no call for a while still held which routes were owed room then, and a call's bound at the target came from it. Change: the bound asks the shares of the service, which are current.

--- a/src/jujubeyard/node/waiting_room.py
+++ b/src/jujubeyard/node/waiting_room.py
@@ -160,7 +160,7 @@
             self._selector.queue_bounds.observe(
                 service, state.route.urgency, state.route.objective
             )
-        state.rank = self._rank(state, line)
+        state.rank = self._rank(state)
         if line.queue.goes_first(waiter, now):
             target = await self._selector.select(state)
             if target is not None:
@@ -201,14 +201,16 @@
             self._urgencies = waiting.find_priorities(configuration)
         return len(self._urgencies.get(service, ())) > 1
 
-    def _rank(self, state: attempts.CallState, line: _Line) -> int:
+    def _rank(self, state: attempts.CallState) -> int:
         """Returns how many priorities go before a call's.
 
         None does if the call's route is owed room.
         """
-        if line.queue.is_owed(state.route.name):
+        service = state.service.name
+        owed = self._shares[service].owed_routes(time.monotonic())
+        if state.route.name in owed:
             return 0
-        urgencies = self._urgencies.get(state.service.name, [])
+        urgencies = self._urgencies.get(service, [])
         return sum(urgency < state.route.urgency for urgency in urgencies)
 
     def _owner(self, state: attempts.CallState) -> str:
@@ -274,7 +276,7 @@
                     state.retry_after = place.refusal.retry_after
                     return None
                 state.lacks_room = False
-                state.rank = self._rank(state, line)
+                state.rank = self._rank(state)
                 target = await self._selector.select(state)
                 if target is not None:
                     outcome = GRANTED
--- a/src/jujubeyard/scheduling/waiting.py
+++ b/src/jujubeyard/scheduling/waiting.py
@@ -94,10 +94,6 @@
         heads = [lane.head() for lane in self._lanes.values()]
         return sorted(heads, key=lambda head: self._order(head, now))
 
-    def is_owed(self, route: str) -> bool:
-        """Returns whether a route has got less than its guaranteed share."""
-        return route in self._owed
-
     def goes_first(self, waiter: lanes.Waiter, now: float) -> bool:
         """Returns whether a call that arrives would be the first to go."""
         turns = self.turns(now)
