Let targets take large bodies slowly

A caller's upload to a target that stopped reading for two seconds ended in 502, and the target was blamed: TCP_USER_TIMEOUT also counts data that waits for the peer's window, and is 2 s on connections to targets, so that lost VMs are noticed.

A connection that carries a streamed body has 10 s, until it is used for the next call; the deadline of the call bounds it as before.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -34,6 +34,10 @@
 """How long sent data may stay unacknowledged by the peer's kernel before the
 connection is closed."""
 
+SLOW_READER_TIMEOUT_MS = 10_000
+"""The same for a peer that may read slowly: data that doesn't fit into its
+window counts as unacknowledged too."""
+
 RECEIVE_BUFFER_BYTES = 64 * 1024
 """Size of what the kernel holds of a connection that isn't read. It counts as
 memory of the process where that is limited."""
@@ -59,6 +63,7 @@
         self.call_id_header = call_id_header
         self._expected_call_id: str | None = None
         self._is_out_of_sync = False
+        self._is_reader_slow = False
         self._is_answered = False
         self._message_count = 0
         self._received_bytes = 0
@@ -71,12 +76,23 @@
         super().connection_made(transport)
 
     def begin_call(self) -> None:
-        """Prepares for the answer to the next call."""
+        """Prepares for the next call and its answer."""
+        if self._is_reader_slow:
+            self._is_reader_slow = False
+            set_send_timeout(self._socket(), TCP_USER_TIMEOUT_MS)
         self._is_answered = False
         self._message_count = 0
         self._received_bytes = 0
         self._payloads = []
 
+    def tolerate_slow_reading(self) -> None:
+        """Lets the peer take the current call slowly."""
+        self._is_reader_slow = True
+        set_send_timeout(self._socket(), SLOW_READER_TIMEOUT_MS)
+
+    def _socket(self) -> socket.socket:
+        return self.transport.get_extra_info("socket")
+
     def set_expected_call(self, call_id: str | None) -> None:
         """Sets the ID of the call whose answer is read next."""
         self._expected_call_id = call_id
@@ -240,9 +256,12 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-    )
+    set_send_timeout(sock, TCP_USER_TIMEOUT_MS)
+
+
+def set_send_timeout(sock: socket.socket, timeout_ms: int) -> None:
+    """Sets how long sent data may stay unacknowledged, in milliseconds."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
 def make_session(
--- a/src/jujubeyard/node/body_stream.py
+++ b/src/jujubeyard/node/body_stream.py
@@ -170,6 +170,7 @@
         """Writes the body."""
         if writer.transport is not None:
             writer.transport.set_write_buffer_limits(high=BLOCK_BYTES)
+            writer.protocol.tolerate_slow_reading()
         async for block in self._value.iter_blocks():
             self._report_sent(len(block))
             await writer.write(block)
