--- a/src/jujubeyard/ownership/demand.py
+++ b/src/jujubeyard/ownership/demand.py
@@ -187,6 +187,7 @@
         self.calls = [0.0] * BUCKETS
         self.samples = 0.0
         self._work: dict[str, TargetWork] = {}
+        self._total = TargetWork()
         self._decayed_at = 0.0
 
     def add(self, report: Report, now: float) -> None:
@@ -206,6 +207,7 @@
             target_work = self._work.setdefault(target_id, TargetWork())
             usual = count * usual_seconds or seconds
             target_work.add(count, seconds, usual)
+            self._total.add(count, seconds, usual)
 
     def rate_factor(self) -> float:
         """Returns the ratio of calls per second to the weighted calls.
@@ -240,27 +242,14 @@
         target_work = self._work.get(target_id)
         if target_work is None:
             return 0.0, 0.0
-        return target_work.measured(
-            self.mean_work_seconds() / self._mean_slowness()
-        )
+        slowness = self._total.long_term.slowness()
+        mean_slowness = max(slowness, MIN_WORK_SECONDS)
+        return target_work.measured(self.mean_work_seconds() / mean_slowness)
 
     def mean_work_seconds(self) -> float:
         """Returns the mean processing time at all targets, in seconds."""
-        recent = [target_work.recent for target_work in self._work.values()]
-        count = sum(sums.count for sums in recent)
-        seconds = sum(sums.seconds for sums in recent)
-        return seconds / count if count else 0.0
-
-    def _mean_slowness(self) -> float:
-        """Returns the mean slowness of all targets.
-
-        It is above 1.0 while calls of all targets cost more than before.
-        """
-        sums = [target_work.long_term for target_work in self._work.values()]
-        usual_seconds = sum(part.usual_seconds for part in sums)
-        if not usual_seconds:
-            return 1.0
-        return sum(part.seconds for part in sums) / usual_seconds
+        recent = self._total.recent
+        return recent.seconds / recent.count if recent.count else 0.0
 
     def _decay(self, now: float) -> None:
         if not self._decayed_at:
@@ -272,6 +261,7 @@
         factor = 0.5 ** (age / HALF_LIFE_SECONDS)
         self.calls = [count * factor for count in self.calls]
         self.samples *= factor
+        self._total.decay(age)
         for target_work in self._work.values():
             target_work.decay(age)
         self._work = {
