Bound again what endless answers together may bring

The merge of streamed answers had dropped a check of the test of endless bodies: that 20 answers together bring less than five times what one may. It can't stand as it was, since a large answer is now read to its caller up to its own limit of 8 MiB, and no longer until all of them fill one buffer. What it guarded is now held by two checks: the memory of the process stays bounded, and each answer ends within the bound of a single one.

--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -293,6 +293,7 @@
                 )
             )
     assert {result.outcome for result in results} == {BROKEN}
+    assert server.repeated_bytes < len(script) * MAX_SENT_BYTES
 
 
 async def test_answers_that_are_not_read_stay_with_their_targets():
