Leave the time for slow uploads to their deadline

With 10 s instead of 2 s for unacknowledged data, uploads over targets that read 10 KB/s through a small window still ended in 502 after 10.3 s, though the target took bytes all the while: the kernel only counts anew once the window holds the whole next segment that waits. The limit is off now while a connection carries a streamed body; the deadline ends the call.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -34,9 +34,9 @@
 """How long sent data may stay unacknowledged by the peer's kernel before the
 connection is closed."""
 
-SLOW_READER_TIMEOUT_MS = 10_000
-"""The same for a peer that may read slowly: data that doesn't fit into its
-window counts as unacknowledged too."""
+SLOW_READER_TIMEOUT_MS = 0
+"""The same for a peer that may read slowly: unlimited, as data that doesn't fit
+into its window counts as unacknowledged too. The deadline of the call holds."""
 
 RECEIVE_BUFFER_BYTES = 64 * 1024
 """Size of what the kernel holds of a connection that isn't read. It counts as
