--- a/bench/procfs.py
+++ b/bench/procfs.py
@@ -16,8 +16,17 @@
 
 def resident_bytes(pid: int) -> int:
     """Returns the resident memory of a process; 0 if it has none listed."""
+    return _read_size(pid, "VmRSS:")
+
+
+def peak_bytes(pid: int) -> int:
+    """Returns the largest resident memory that a process has had."""
+    return _read_size(pid, "VmHWM:")
+
+
+def _read_size(pid: int, name: str) -> int:
     text = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
     for line in text.splitlines():
-        if line.startswith("VmRSS:"):
+        if line.startswith(name):
             return int(line.split()[1]) * BYTES_PER_KILOBYTE
     return 0
