Keep the start of a body in blocks

The start of a body in chunks was one block of 64 KiB, which was copied twice more to be sent. It is kept and sent in blocks of 16 KiB as the rest.

--- a/src/jujubeyard/node/body_stream.py
+++ b/src/jujubeyard/node/body_stream.py
@@ -58,7 +58,7 @@
         self,
         content: aiohttp.StreamReader,
         length: int | None,
-        start: bytes,
+        start: list[bytes],
         holding: memory.Holding,
         max_bytes: int,
         begin_reading: BeginReading,
@@ -68,14 +68,14 @@
         Args:
             content: What is still to be received.
             length: Size of the body, or None if it is sent in chunks.
-            start: What was received already.
+            start: What was received already, in blocks.
             holding: Memory of the call.
             max_bytes: Largest size of the body.
             begin_reading: Called before the first block is awaited.
         """
         self._content = content
-        self._blocks = [start] if start else []
-        self._read_bytes = len(start)
+        self._blocks = start
+        self._read_bytes = sum(map(len, start))
         self._holding = holding
         self._max_bytes = max_bytes
         self._begin_reading: BeginReading | None = begin_reading
@@ -229,7 +229,7 @@
             return codes.ResultCode.OVERLOADED
         if length is not None and length > WHOLE_BODY_BYTES:
             stream = self._make_stream(
-                content, length, b"", holding, begin_reading
+                content, length, [], holding, begin_reading
             )
             return ReceivedBody(b"", stream, holding)
         with contextlib.ExitStack() as stack:
@@ -244,8 +244,9 @@
                 return codes.ResultCode.BAD_REQUEST
             stack.pop_all()
         if content.at_eof():
-            holding.add(len(start) - holding.held_bytes)
-            return ReceivedBody(start, None, holding)
+            body = b"".join(start)
+            holding.add(len(body) - holding.held_bytes)
+            return ReceivedBody(body, None, holding)
         stream = self._make_stream(
             content, length, start, holding, begin_nothing
         )
@@ -273,14 +274,15 @@
     return length
 
 
-async def _read_start(content: aiohttp.StreamReader) -> bytes:
-    """Returns the first part of a body: all of it, if it is small."""
-    start = bytearray()
-    while len(start) < WHOLE_BODY_BYTES and not content.at_eof():
-        start += await content.read(
-            min(BLOCK_BYTES, WHOLE_BODY_BYTES - len(start))
-        )
-    return bytes(start)
+async def _read_start(content: aiohttp.StreamReader) -> list[bytes]:
+    """Returns the first blocks of a body: all of it, if it is small."""
+    blocks = []
+    missing_bytes = WHOLE_BODY_BYTES
+    while missing_bytes and not content.at_eof():
+        block = await content.read(min(BLOCK_BYTES, missing_bytes))
+        blocks.append(block)
+        missing_bytes -= len(block)
+    return blocks
 
 
 async def begin_nothing() -> None:
--- a/tests/node/test_body_stream.py
+++ b/tests/node/test_body_stream.py
@@ -328,7 +328,7 @@
     content.feed_eof()
     holding = budget.hold(body_stream.WHOLE_BODY_BYTES)
     stream = body_stream.BodyStream(
-        content, None, b"", holding, 1_000_000, body_stream.begin_nothing
+        content, None, [], holding, 1_000_000, body_stream.begin_nothing
     )
     blocks = [block async for block in stream.iter_blocks()]
     assert b"".join(blocks) == BODY[:size]
