Name a second service of the same name as an error

An operator who gives two services one name got no word of it: the last one was in force on nodes, and `jujubeyard check` said nothing. The parser that both use now records the second one as an error of its name, which nodes log and count; which of them is in force stays as it was. The test fails without the change.

--- a/src/jujubeyard/platform/configurations.py
+++ b/src/jujubeyard/platform/configurations.py
@@ -86,6 +86,9 @@
     for reader in readers.services:
         service = _parse_service(reader)
         if service is not None:
+            if service.name in services:
+                expected = "a name that no earlier service has"
+                reader.add_error("name", expected, service.name)
             services[service.name] = service
     routes, unreadable_routes = [], []
     for reader in readers.routes:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -326,6 +326,19 @@
     assert [(error.name, error.field) for error in parsed.errors] == found
 
 
+def test_the_last_service_of_a_name_is_in_force_and_named_as_an_error():
+    document = json.loads(json.dumps(CONFIGURATION))
+    rows = document["services"]["rows"]
+    rows.append([rows[0][0], *rows[1][1:]])
+    body = json.dumps(document).encode()
+    parsed = configurations.parse_configuration(body)
+    (error,) = parsed.errors
+    assert (error.kind, error.field) == (config.EntryKind.SERVICE, "name")
+    assert error.found == repr("desk")
+    assert set(parsed.services) == {"desk", "book"}
+    assert len(parsed.routes) == 1
+
+
 def test_unreadable_limits_limit_no_body():
     body = _encode_with(["limits", "maxBodyBytes"], "x", CONFIGURATION)
     parsed = configurations.parse_configuration(body)
