Let no call of a moving shard hold up the other calls of its owner

Callers of keys that had not moved were refused with 211 at an idle owner, and calls of a moved key were refused although the new owner was idle, if a call of another shard went before them in the queue of the old owner.

Cause: the call whose turn it was kept the turn while it looked for the owner of its key, up to 0.35 s, and calls that weren't first in the queue never noticed that their key had moved. Calls of a key without an owner shared the queue of the calls without a key.

A call whose key has another owner, or none, now leaves the queue, at its turn or at the check each 50 ms, and looks for the owner outside any queue. Keys without an owner are in no queue.

--- a/src/jujubeyard/node/waiting_room.py
+++ b/src/jujubeyard/node/waiting_room.py
@@ -35,6 +35,7 @@
 GRANTED = "granted"
 NO_TARGET = "no target"
 LEFT = "caller left"
+MOVED = "key moved"
 
 REFUSAL_CODES = {
     waiting.Reason.TOO_LATE: codes.ResultCode.DEADLINE_UNREACHABLE,
@@ -49,15 +50,19 @@
     """A waiting call's place in its queue.
 
     Attributes:
+        state: The call.
         waiter: The call, as its queue knows it.
         body_bytes: Size of its body.
-        turn: Set when the call may try, or is refused.
+        turn: Set when the call may try, is refused or has moved.
+        has_moved: Whether its key has another owner than the queue, or none.
         refusal: Why the call is refused, if it is.
     """
 
+    state: attempts.CallState
     waiter: lanes.Waiter
     body_bytes: int
     turn: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    has_moved: bool = False
     refusal: waiting.Refusal | None = None
 
 
@@ -152,23 +157,33 @@
         state.lacks_room = False
         if not state.may_wait:
             return await self._selector.select(state)
-        now = time.monotonic()
-        line = self._line(service, self._owner(state))
-        waiter = self._make_waiter(state, now)
+        line = await self._find_line(state)
+        if line is None:
+            return None
+        waiter = self._make_waiter(state, time.monotonic())
         if not state.tried_targets:
             self._shares[service].observe_arrival(waiter.route)
             self._selector.queue_bounds.observe(
                 service, state.route.urgency, state.route.objective
             )
-        state.rank = self._rank(state)
-        if line.queue.goes_first(waiter, now):
-            target = await self._selector.select(state)
-            if target is not None:
-                line.queue.grant(waiter, time.monotonic())
+        while line is not None:
+            state.rank = self._rank(state)
+            now = time.monotonic()
+            if self._is_closed or line.queue.goes_first(waiter, now):
+                target = await self._selector.select(state)
+                if target is not None:
+                    line.queue.grant(waiter, time.monotonic())
+                    return target
+                if not state.lacks_room:
+                    return None
+                line = await self._find_line(state)
+                if line is None or self._is_closed:
+                    return None
+            target, outcome = await self._wait(state, line, waiter)
+            if outcome != MOVED:
                 return target
-            if not state.lacks_room or self._is_closed:
-                return None
-        return await self._wait(state, waiter)
+            line = await self._find_line(state)
+        return None
 
     def tell_of_room(self, service: str, target_id: str) -> None:
         """Lets waiting calls try again, as a call at a target has ended.
@@ -216,12 +231,25 @@
     def _owner(self, state: attempts.CallState) -> str:
         """Returns the owner that a call waits for; empty if any target will do.
 
-        A call whose key has no owner at the moment isn't tied to one either.
+        It is also empty if the call's key has no owner at the moment.
         """
         if not state.is_keyed:
             return ""
         return self._owner_lookup.current_owner_id(state)
 
+    async def _find_line(self, state: attempts.CallState) -> _Line | None:
+        """Returns the queue of a call; None if its key gets no owner in time.
+
+        The time until the key has an owner is spent outside any queue.
+        """
+        owner = ""
+        if state.is_keyed:
+            target = await self._owner_lookup.find_owner(state)
+            if target is None:
+                return None
+            owner = target.listing.target_id
+        return self._line(state.service.name, owner)
+
     def _line(self, service: str, owner: str) -> _Line:
         line = self._lines.get((service, owner))
         if line is None:
@@ -258,10 +286,14 @@
     async def _wait(
         self,
         state: attempts.CallState,
+        line: _Line,
         waiter: lanes.Waiter,
-    ) -> registry.Target | None:
-        """Returns a target once the call has had its turn and found room."""
-        line = self._line(state.service.name, self._owner(state))
+    ) -> tuple[registry.Target | None, str]:
+        """Returns a target once the call has had its turn and found room.
+
+        Returns:
+            The target, if there is one, and how the wait has ended.
+        """
         waiter.joined_at = time.monotonic()
         ahead = line.queue.ahead_by_route(waiter, waiter.joined_at)
         place = self._join(state, line, waiter)
@@ -274,15 +306,18 @@
                     outcome = place.refusal.reason.value
                     state.latest_code = REFUSAL_CODES[place.refusal.reason]
                     state.retry_after = place.refusal.retry_after
-                    return None
+                    return None, outcome
+                if place.has_moved or self._owner(state) != line.owner:
+                    outcome = MOVED
+                    return None, outcome
                 state.rank = self._rank(state)
                 target = await self._selector.select(state)
                 if target is not None:
                     outcome = GRANTED
-                    return target
+                    return target, outcome
                 if not state.lacks_room:
                     outcome = NO_TARGET
-                    return None
+                    return None, outcome
                 self._end_turn(line, waiter)
         finally:
             self._leave(state, line, place, outcome)
@@ -295,7 +330,7 @@
         waiter: lanes.Waiter,
     ) -> _Place:
         """Returns the call's place; it may be refused there at once."""
-        place = _Place(waiter, state.call.body_bytes())
+        place = _Place(state, waiter, state.call.body_bytes())
         line.places[waiter] = place
         self._waiting_calls += 1
         self._waiting_bytes += place.body_bytes
@@ -384,12 +419,23 @@
         for line in self._lines.values():
             if not line.places:
                 continue
+            self._take_moved(line, now)
             line.refuse(line.queue.take_hopeless(now))
             line.tried_routes.clear()
             line.offer(now)
         if self._waiting_calls:
             self._schedule_check()
 
+    def _take_moved(self, line: _Line, now: float) -> None:
+        """Takes the calls out of a queue whose keys have another owner now."""
+        if not line.owner:
+            return
+        for place in line.places.values():
+            if self._owner(place.state) != line.owner:
+                line.queue.leave(place.waiter, now)
+                place.has_moved = True
+                place.turn.set()
+
 
 def _describe_lack(lack: attempts.LackOfRoom | None) -> dict:
     """Returns the fields of a log line on why a target had no room."""
--- a/tests/node/test_waiting_room.py
+++ b/tests/node/test_waiting_room.py
@@ -7,6 +7,7 @@
 
 from jujubeyard import codes
 from jujubeyard.node import waiting_room
+from jujubeyard.ownership import table
 from jujubeyard.routing import config
 from jujubeyard.routing import match
 from jujubeyard.scheduling import waiting
@@ -212,3 +213,51 @@
     harness.add_target("t3", slots=1)
     harness.client.script = [refuse, test_forward.make_answer()]
     assert (await harness.serve("read")).status == 200
+
+
+def set_owners(harness, first, second, revision):
+    """Gives the lower half of the keys one owner, the upper half another."""
+    shards = []
+    for index, name in enumerate((first, second)):
+        owner = table.Owner(name, 1, f"{name}:1")
+        start = 32768 * index
+        shards.append(table.Shard(start, start + 32767, owner, revision, ""))
+    harness.view.apply_table(table.ShardTable("desk", tuple(shards), revision))
+
+
+@pytest.mark.parametrize(
+    ("owners", "freed", "codes_found"),
+    [
+        pytest.param(
+            ("unlisted", "t2"), "t2", {"NOT_READY"}, id="to an unlisted target"
+        ),
+        pytest.param(
+            ("t2", "t3"), "t3", {"DEADLINE_UNREACHABLE"}, id="off a full target"
+        ),
+    ],
+)
+async def test_moving_shard_holds_up_no_call_of_another(
+    harness, owners, freed, codes_found
+):
+    set_owners(harness, "t2", "t2", 2)
+    first = await start_calls(harness, [("lookup", 5)] * 2)
+    (other,) = await start_calls(harness, [("lookup", 40000)])
+    harness.add_target("t3", "desk", slots=1)
+    set_owners(harness, *owners, 3)
+    harness.view.registry.targets[freed].load.in_flight = 0
+    reply = await asyncio.wait_for(
+        other, 3 * waiting_room.CHECK_INTERVAL_SECONDS
+    )
+    assert reply.status == 200
+    assert [call.address for call in harness.client.sent] == [f"{freed}:1"]
+    replies = await asyncio.gather(*first)
+    assert {reply.code.name for reply in replies} == codes_found
+
+
+async def test_key_without_owner_joins_no_queue(harness):
+    (pooled,) = await start_calls(harness, [("lookup", None)])
+    harness.set_owner("unlisted", fence=2, revision=2)
+    reply = await harness.serve("lookup", key=5)
+    assert reply.code is codes.ResultCode.NOT_READY
+    await pooled
+    assert len(find_waits(harness)) == 1
