Keep the first waiting call until its latest start

Callers that waited alone for a full owner were refused after a quarter of their timeout, and each next one sooner: five calls of 2 s timeout after 0.51, 0.26, 0.15, 0.10 and 0.05 s, though they could have started until 1.0 s. Urgent calls with less urgent ones behind them were refused too.

Cause: the expected wait contained the time for one more call, so it was always longer than the call had waited already, and the time that refused calls had waited stayed in the estimate after the queue was empty.

A call is now refused by the expected wait of the calls ahead of it only; the first one is kept until its latest start. The time since the latest room is forgotten when the queue is empty. Once calls have waited for 5 s without any room, the earlier rule holds, so that callers of a target that doesn't recover hear it at once, as test_calls_are_refused_soon_once_no_room_comes_any_more demands. A refused caller is told the time until room for itself as before.

Evidence: test_first_call_waits_until_its_latest_start (2 cases) and test_wait_in_vain_counts_only_until_the_queue_is_empty failed before and pass; the other tests of the queue pass unchanged.

--- a/src/jujubeyard/scheduling/waiting.py
+++ b/src/jujubeyard/scheduling/waiting.py
@@ -4,7 +4,9 @@
 first; among equally urgent ones, those that can still meet their latency
 objective go before those that can't, and the one that loses its time first goes
 first. A route that gets less than its guaranteed share goes before all others.
-A call that won't get room in time is refused as soon as that is known.
+A call that won't get room in time is refused as soon as that is known; the one
+that goes first waits until its latest start, unless calls have waited in vain
+for long.
 """
 
 import collections
@@ -130,14 +132,15 @@
             The calls that are refused because of it, perhaps itself.
         """
         self._update(now)
-        seconds = self._expected_seconds(waiter, now)
-        if now + seconds > waiter.start_by:
+        ahead = self._ahead(waiter, now)
+        if self._is_hopeless(ahead, waiter, now):
+            seconds = self._expected_seconds(ahead, waiter)
             return [_refuse(waiter, Reason.TOO_LATE, seconds)]
         self._add(waiter)
         if not is_full and self._size <= self._limit:
             return []
         victim = self._least_important(now)
-        seconds = self._expected_seconds(victim, now)
+        seconds = self._expected_seconds(self._ahead(victim, now), victim)
         self.leave(victim, now)
         reason = Reason.FULL if victim is waiter else Reason.DISPLACED
         return [_refuse(victim, reason, seconds)]
@@ -154,6 +157,8 @@
         if lane is None or not lane.remove(waiter):
             return
         self._size -= 1
+        if not self._size:
+            self._room.observe_empty()
         self._origins[waiter.origin] -= 1
         if not self._origins[waiter.origin]:
             del self._origins[waiter.origin]
@@ -171,6 +176,8 @@
         self._shares.observe_served(waiter.route)
         if self._size:
             self._room.observe_grant(waiter.urgency)
+        else:
+            self._room.observe_room()
         self.leave(waiter, now)
 
     def take_hopeless(self, now: float) -> list[Refusal]:
@@ -186,8 +193,8 @@
             self._waiters(), key=lambda waiter: self._order(waiter, now)
         )
         for waiter in ordered:
-            seconds = self._seconds_behind(ahead, waiter)
-            if now + seconds > waiter.start_by:
+            if self._is_hopeless(ahead, waiter, now):
+                seconds = self._expected_seconds(ahead, waiter)
                 refusals.append(_refuse(waiter, Reason.TOO_LATE, seconds))
             else:
                 ahead[waiter.urgency] += 1
@@ -250,28 +257,59 @@
             waiter.start_by if is_late else waiter.prompt_by,
         )
 
-    def _expected_seconds(self, waiter: lanes.Waiter, now: float) -> float:
-        """Returns how long a call is expected to wait, in seconds."""
+    def _ahead(
+        self, waiter: lanes.Waiter, now: float
+    ) -> collections.Counter[int]:
+        """Returns the number of calls before a call, by urgency."""
         ahead: collections.Counter[int] = collections.Counter()
         for lane, count in self._count_ahead(waiter, now):
             ahead[lane.urgency] += count
-        return self._seconds_behind(ahead, waiter)
+        return ahead
+
+    def _is_hopeless(
+        self,
+        ahead: collections.Counter[int],
+        waiter: lanes.Waiter,
+        now: float,
+    ) -> bool:
+        """Returns whether a call behind others won't get room in time."""
+        if self._room.is_dry():
+            return now + self._expected_seconds(ahead, waiter) > waiter.start_by
+        return now + self._seconds_behind(ahead, waiter) > waiter.start_by
+
+    def _expected_seconds(
+        self, ahead: collections.Counter[int], waiter: lanes.Waiter
+    ) -> float:
+        """Returns the time until a call is expected to get room, in seconds.
+
+        Args:
+            ahead: Number of calls before it, by urgency.
+            waiter: The call.
+        """
+        urgency = self._effective_urgency(waiter)
+        return self._seconds_behind(ahead, waiter) + 1.0 / self._room.rate(
+            urgency, self._prior_rate
+        )
 
     def _seconds_behind(
         self, ahead: collections.Counter[int], waiter: lanes.Waiter
     ) -> float:
-        """Returns the time until a call behind others gets room, in seconds.
+        """Returns the time until a call will be the first, in seconds.
 
         Args:
             ahead: Number of calls before it, by urgency.
-            waiter: The call; if its route is owed room, any room is for it.
+            waiter: The call.
         """
-        urgency = 0 if waiter.route in self._owed else waiter.urgency
-        return 1.0 / self._room.rate(urgency, self._prior_rate) + sum(
+        urgency = self._effective_urgency(waiter)
+        return sum(
             count / self._room.rate(min(other, urgency), self._prior_rate)
             for other, count in ahead.items()
         )
 
+    def _effective_urgency(self, waiter: lanes.Waiter) -> int:
+        """Returns a call's priority; any room is for a route that is owed."""
+        return 0 if waiter.route in self._owed else waiter.urgency
+
     def _least_important(self, now: float) -> lanes.Waiter:
         """Returns the call that is refused first if too many wait.
 
--- a/tests/scheduling/test_waiting.py
+++ b/tests/scheduling/test_waiting.py
@@ -251,6 +251,29 @@
     assert sum(play.held[half_time:]) / half_time < 0.1
 
 
+@pytest.mark.parametrize("urgency", [0, 1])
+def test_first_call_waits_until_its_latest_start(urgency):
+    play = Play()
+    for _ in range(4):
+        first = play.arrive(make_kind("first", urgency, 0.5, 2.0, 0.0))
+        play.arrive(HISTORY)
+        while first not in [refusal.waiter for refusal in play.refused]:
+            play.now += TICK_SECONDS
+            play.refuse(play.queue.take_hopeless(play.now))
+        assert play.now - first.joined_at > 1.0 - TICK_SECONDS
+        play.refuse(play.queue.take_all(play.now))
+
+
+def test_wait_in_vain_counts_only_until_the_queue_is_empty():
+    play = Play()
+    gone = play.arrive(HISTORY)
+    play.now += 1.9
+    play.queue.leave(gone, play.now)
+    play.arrive(ORDER)
+    play.arrive(ORDER)
+    assert not play.refused
+
+
 def test_shutdown_refuses_all():
     play = Play()
     calls = {play.arrive(ORDER), play.arrive(READ)}
