Let calls with large uploads wait for room

Callers that upload more than 8 MiB were refused with 429 where other calls waited, unless they displaced a less urgent call.

Cause: the whole length of the body counted towards the limit on the bodies of waiting calls, although a body that is passed on as it arrives holds at most 160 KiB or so of memory.

What counts is now the memory that such a body needs at most.

Evidence: test_call_with_a_body_that_is_passed_on_may_wait failed before for 200 MiB (429) and passes; its two other lengths guard the rest.

--- a/src/jujubeyard/node/waiting_room.py
+++ b/src/jujubeyard/node/waiting_room.py
@@ -7,6 +7,8 @@
 from jujubeyard import bodies
 from jujubeyard import codes
 from jujubeyard.node import attempts
+from jujubeyard.node import body_stream
+from jujubeyard.node import calls
 from jujubeyard.node import cluster_view
 from jujubeyard.node import journal
 from jujubeyard.node import metrics
@@ -26,7 +28,7 @@
 """Calls that may wait at the node."""
 
 MAX_WAITING_BYTES = 8 * bodies.MIB
-"""Size of all bodies of waiting calls from which on further calls displace
+"""Memory for the bodies of waiting calls from which on further calls displace
 others."""
 
 MAX_QUEUES = 1000
@@ -56,7 +58,7 @@
     Attributes:
         state: The call.
         waiter: The call, as its queue knows it.
-        body_bytes: Size of its body.
+        body_bytes: Memory that its body needs.
         turn: Set when the call may try, is refused or has moved.
         has_moved: Whether its key has another owner than the queue, or none.
         refusal: Why the call is refused, if it is.
@@ -369,7 +371,7 @@
         waiter: lanes.Waiter,
     ) -> _Place:
         """Returns the call's place; it may be refused there at once."""
-        place = _Place(state, waiter, state.call.body_bytes())
+        place = _Place(state, waiter, _held_bytes(state.call))
         line.places[waiter] = place
         self._waiting_calls += 1
         self._waiting_bytes += place.body_bytes
@@ -475,6 +477,14 @@
                 place.turn.set()
 
 
+def _held_bytes(call: calls.Call) -> int:
+    """Returns how much memory the body of a waiting call needs at most."""
+    if call.stream is None:
+        return call.body_bytes()
+    held_bytes = body_stream.WHOLE_BODY_BYTES + body_stream.STREAM_BYTES
+    return min(call.body_bytes(), held_bytes)
+
+
 def _describe_lack(lack: attempts.LackOfRoom | None) -> dict:
     """Returns the fields of a log line on why a target had no room."""
     if lack is None:
--- a/tests/node/test_waiting_room.py
+++ b/tests/node/test_waiting_room.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from jujubeyard import bodies
 from jujubeyard import codes
 from jujubeyard.node import waiting_room
 from jujubeyard.ownership import table
@@ -304,3 +305,14 @@
     room.tell_of_room("pool", "t1")
     replies = await asyncio.gather(*tasks)
     assert {reply.status for reply in replies} == {200}
+
+
+@pytest.mark.parametrize("length", [100_000, 200 * bodies.MIB, None])
+async def test_call_with_a_body_that_is_passed_on_may_wait(harness, length):
+    stream = test_forward.FakeStream(True)
+    stream.length = length
+    task = asyncio.create_task(harness.serve("read", stream=stream))
+    await asyncio.sleep(0.02)
+    free_room(harness)
+    assert (await task).status == 200
+    assert find_waits(harness)[0]["outcome"] == waiting_room.GRANTED
