--- a/src/jujubeyard/node/waiting_room.py
+++ b/src/jujubeyard/node/waiting_room.py
@@ -7,6 +7,8 @@
 from jujubeyard import bodies
 from jujubeyard import codes
 from jujubeyard.node import attempts
+from jujubeyard.node import body_stream
+from jujubeyard.node import calls
 from jujubeyard.node import cluster_view
 from jujubeyard.node import journal
 from jujubeyard.node import metrics
@@ -26,15 +28,20 @@
 """Calls that may wait at the node."""
 
 MAX_WAITING_BYTES = 8 * bodies.MIB
-"""Size of all bodies of waiting calls from which on further calls displace
+"""Memory for the bodies of waiting calls from which on further calls displace
 others."""
 
 MAX_QUEUES = 1000
 """Number of queues from which on empty ones are dropped."""
 
+MAX_POOLED_TRIES = 3
+"""Calls that try in vain at all targets of a service until further ones wait
+for the next news of room. Each try compares a random sample of the targets."""
+
 GRANTED = "granted"
 NO_TARGET = "no target"
 LEFT = "caller left"
+MOVED = "key moved"
 
 REFUSAL_CODES = {
     waiting.Reason.TOO_LATE: codes.ResultCode.DEADLINE_UNREACHABLE,
@@ -49,15 +56,19 @@
     """A waiting call's place in its queue.
 
     Attributes:
+        state: The call.
         waiter: The call, as its queue knows it.
-        body_bytes: Size of its body.
-        turn: Set when the call may try, or is refused.
+        body_bytes: Memory that its body needs.
+        turn: Set when the call may try, is refused or has moved.
+        has_moved: Whether its key has another owner than the queue, or none.
         refusal: Why the call is refused, if it is.
     """
 
+    state: attempts.CallState
     waiter: lanes.Waiter
     body_bytes: int
     turn: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    has_moved: bool = False
     refusal: waiting.Refusal | None = None
 
 
@@ -71,6 +82,8 @@
         trying: The call whose turn it is.
         tried_routes: Routes whose calls have found no room since the latest
             news of room.
+        lacking: Number of calls that no target has had room for since then,
+            whatever their route is.
     """
 
     def __init__(self, owner: str, queue: waiting.WaitingQueue):
@@ -79,11 +92,20 @@
         self.places: dict[lanes.Waiter, _Place] = {}
         self.trying: lanes.Waiter | None = None
         self.tried_routes: set[str] = set()
+        self.lacking = 0
+
+    def offer_anew(self, now: float) -> None:
+        """Lets calls of all routes try again, as there may be room now."""
+        self.tried_routes.clear()
+        self.lacking = 0
+        self.offer(now)
 
     def offer(self, now: float) -> None:
         """Gives the first call its turn, unless another one is trying."""
         if self.trying is not None:
             return
+        if not self.owner and self.lacking >= MAX_POOLED_TRIES:
+            return
         for waiter in self.queue.turns(now):
             if waiter.route in self.tried_routes:
                 continue
@@ -152,23 +174,33 @@
         state.lacks_room = False
         if not state.may_wait:
             return await self._selector.select(state)
-        now = time.monotonic()
-        line = self._line(service, self._owner(state))
-        waiter = self._make_waiter(state, now)
+        line = await self._find_line(state)
+        if line is None:
+            return None
+        waiter = self._make_waiter(state, time.monotonic())
         if not state.tried_targets:
             self._shares[service].observe_arrival(waiter.route)
             self._selector.queue_bounds.observe(
                 service, state.route.urgency, state.route.objective
             )
-        state.rank = self._rank(state)
-        if line.queue.goes_first(waiter, now):
-            target = await self._selector.select(state)
-            if target is not None:
-                line.queue.grant(waiter, time.monotonic())
+        while line is not None:
+            state.rank = self._rank(state)
+            now = time.monotonic()
+            if self._is_closed or line.queue.goes_first(waiter, now):
+                target = await self._selector.select(state)
+                if target is not None:
+                    line.queue.grant(waiter, time.monotonic())
+                    return target
+                if not state.lacks_room:
+                    return None
+                line = await self._find_line(state)
+                if line is None or self._is_closed:
+                    return None
+            target, outcome = await self._wait(state, line, waiter)
+            if outcome != MOVED:
                 return target
-            if not state.lacks_room or self._is_closed:
-                return None
-        return await self._wait(state, waiter)
+            line = await self._find_line(state)
+        return None
 
     def tell_of_room(self, service: str, target_id: str) -> None:
         """Lets waiting calls try again, as a call at a target has ended.
@@ -181,8 +213,7 @@
         for owner in ("", target_id):
             line = self._lines.get((service, owner))
             if line is not None and line.places:
-                line.tried_routes.clear()
-                line.offer(now)
+                line.offer_anew(now)
 
     def close(self) -> None:
         """Refuses all waiting calls, and lets none wait from now on."""
@@ -216,12 +247,25 @@
     def _owner(self, state: attempts.CallState) -> str:
         """Returns the owner that a call waits for; empty if any target will do.
 
-        A call whose key has no owner at the moment isn't tied to one either.
+        It is also empty if the call's key has no owner at the moment.
         """
         if not state.is_keyed:
             return ""
         return self._owner_lookup.current_owner_id(state)
 
+    async def _find_line(self, state: attempts.CallState) -> _Line | None:
+        """Returns the queue of a call; None if its key gets no owner in time.
+
+        The time until the key has an owner is spent outside any queue.
+        """
+        owner = ""
+        if state.is_keyed:
+            target = await self._owner_lookup.find_owner(state)
+            if target is None:
+                return None
+            owner = target.listing.target_id
+        return self._line(state.service.name, owner)
+
     def _line(self, service: str, owner: str) -> _Line:
         line = self._lines.get((service, owner))
         if line is None:
@@ -243,25 +287,53 @@
         self, state: attempts.CallState, now: float
     ) -> lanes.Waiter:
         call = state.call
-        work_seconds = self._selector.route_work.relative_work(
-            state.service.name, state.route.name, 1.0
-        )
         return lanes.make_waiter(
             state.route,
             f"{call.method} {call.host}{call.path} {call.key}",
             call.received_at,
             state.deadline,
-            work_seconds,
+            self._work_seconds(state),
             now,
         )
 
+    def _work_seconds(self, state: attempts.CallState) -> float:
+        """Returns the usual work of calls of a call's route, in seconds."""
+        return self._selector.route_work.relative_work(
+            state.service.name, state.route.name, 1.0
+        )
+
+    def _lacks_for_all(self, state: attempts.CallState) -> bool:
+        """Returns whether less urgent calls lack room where a call lacks it.
+
+        They may have room if the call lacked it for another reason than the
+        bound on queues: its time, targets that it has tried or a limit that
+        the service's targets have shown.
+        """
+        if state.tried_targets:
+            return False
+        now = time.monotonic()
+        service = state.service.name
+        for target in self._view.registry.service_targets(service)[:1]:
+            if target.load.room.limit.current(now) is not None:
+                return False
+        work_seconds = self._work_seconds(state)
+        bound_seconds = self._selector.queue_bounds.seconds(
+            service, state.rank, work_seconds
+        )
+        needed_seconds = bound_seconds + lanes.WORK_MARGIN * work_seconds
+        return state.remaining_seconds() > needed_seconds
+
     async def _wait(
         self,
         state: attempts.CallState,
+        line: _Line,
         waiter: lanes.Waiter,
-    ) -> registry.Target | None:
-        """Returns a target once the call has had its turn and found room."""
-        line = self._line(state.service.name, self._owner(state))
+    ) -> tuple[registry.Target | None, str]:
+        """Returns a target once the call has had its turn and found room.
+
+        Returns:
+            The target, if there is one, and how the wait has ended.
+        """
         waiter.joined_at = time.monotonic()
         ahead = line.queue.ahead_by_route(waiter, waiter.joined_at)
         place = self._join(state, line, waiter)
@@ -274,15 +346,19 @@
                     outcome = place.refusal.reason.value
                     state.latest_code = REFUSAL_CODES[place.refusal.reason]
                     state.retry_after = place.refusal.retry_after
-                    return None
+                    return None, outcome
+                if place.has_moved or self._owner(state) != line.owner:
+                    outcome = MOVED
+                    return None, outcome
                 state.rank = self._rank(state)
                 target = await self._selector.select(state)
                 if target is not None:
                     outcome = GRANTED
-                    return target
+                    return target, outcome
                 if not state.lacks_room:
                     outcome = NO_TARGET
-                    return None
+                    return None, outcome
+                line.lacking += self._lacks_for_all(state)
                 self._end_turn(line, waiter)
         finally:
             self._leave(state, line, place, outcome)
@@ -295,7 +371,7 @@
         waiter: lanes.Waiter,
     ) -> _Place:
         """Returns the call's place; it may be refused there at once."""
-        place = _Place(waiter, state.call.body_bytes())
+        place = _Place(state, waiter, _held_bytes(state.call))
         line.places[waiter] = place
         self._waiting_calls += 1
         self._waiting_bytes += place.body_bytes
@@ -384,12 +460,30 @@
         for line in self._lines.values():
             if not line.places:
                 continue
+            self._take_moved(line, now)
             line.refuse(line.queue.take_hopeless(now))
-            line.tried_routes.clear()
-            line.offer(now)
+            line.offer_anew(now)
         if self._waiting_calls:
             self._schedule_check()
 
+    def _take_moved(self, line: _Line, now: float) -> None:
+        """Takes the calls out of a queue whose keys have another owner now."""
+        if not line.owner:
+            return
+        for place in line.places.values():
+            if self._owner(place.state) != line.owner:
+                line.queue.leave(place.waiter, now)
+                place.has_moved = True
+                place.turn.set()
+
+
+def _held_bytes(call: calls.Call) -> int:
+    """Returns how much memory the body of a waiting call needs at most."""
+    if call.stream is None:
+        return call.body_bytes()
+    held_bytes = body_stream.WHOLE_BODY_BYTES + body_stream.STREAM_BYTES
+    return min(call.body_bytes(), held_bytes)
+
 
 def _describe_lack(lack: attempts.LackOfRoom | None) -> dict:
     """Returns the fields of a log line on why a target had no room."""
