Learn no queue limit from a single broken connection

Callers of a service whose targets never refuse could be paced for up to 120 s: a cut of the network at a target with a queue of two calls for each slot taught all nodes a "limit" of that queue, once any report came within 2 s. While no limit is known, a second such reset, 0.2 s to 10 s after the first and at any target of the service, is now needed, or a refusal. Connections that break at the same time count once. A known limit follows each reset as before.

--- a/src/jujubeyard/scheduling/capacity.py
+++ b/src/jujubeyard/scheduling/capacity.py
@@ -110,11 +110,15 @@
         """Learns the limit if the target is alive after a reset."""
         if not self.reset_at or at <= self.reset_at:
             return
-        is_alive = at - self.reset_at <= CONFIRM_SECONDS
-        self.reset_at = 0.0
+        reset_at, self.reset_at = self.reset_at, 0.0
+        is_alive = at - reset_at <= CONFIRM_SECONDS
         at_reset = max(waiting, self.waiting_at_reset)
         is_long = at_reset >= RESET_WAITING_PER_SLOT * slots
-        if is_alive and is_long and self.limit.shows_full(at_reset, slots, at):
+        if not (is_alive and is_long):
+            return
+        if not self.limit.shows_full(at_reset, slots, at):
+            return
+        if self.limit.is_repeated_reset(reset_at):
             self.was_full = True
             self.limit.observe_full(at_reset, at)
 
--- a/src/jujubeyard/scheduling/queue_limits.py
+++ b/src/jujubeyard/scheduling/queue_limits.py
@@ -1,11 +1,12 @@
 """Learns how many calls can wait at a target.
 
-Targets don't say how many. One that turns a call away, or resets its
-connection, while many wait has shown it. The targets of a service are taken to
+Targets don't say how many. One that turns a call away, or repeatedly resets
+connections, while many wait has shown it. The targets of a service are taken to
 be alike.
 """
 
 import dataclasses
+import math
 
 ADJUSTMENT = 0.5
 """Part of the difference by which a new observation changes the limit."""
@@ -22,6 +23,12 @@
 EVIDENCE_SECONDS = 30.0
 """Time for which the longest reported queue is remembered."""
 
+MIN_RESET_GAP_SECONDS = 0.2
+"""Resets within this time may have one cause, such as a cut of the network."""
+
+MAX_RESET_GAP_SECONDS = 10.0
+"""Time within which a second reset shows that targets are full."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedQueue:
@@ -49,6 +56,8 @@
         own_observations: Number of those that this node itself found.
         raised_at: When the limit was last raised or learned.
         longest: The longest queues of two targets that were reported lately.
+        reset_at: When a target with a long queue last reset a connection
+            without showing a limit; None if none did.
     """
 
     waiting: float | None = None
@@ -57,6 +66,7 @@
     own_observations: int = 0
     raised_at: float = 0.0
     longest: list[ReportedQueue] = dataclasses.field(default_factory=list)
+    reset_at: float | None = None
 
     def observe_queue(
         self, target_id: str, waiting: int, was_full: bool, now: float
@@ -119,6 +129,26 @@
         """
         return waiting >= max(slots, self._proven(now))
 
+    def is_repeated_reset(self, at: float) -> bool:
+        """Records a reset by a target with a long queue.
+
+        Connections break for other reasons, too. As long as no limit is known,
+        a single reset doesn't show one, nor do several at the same time.
+
+        Args:
+            at: When the connection was reset, in monotonic seconds.
+
+        Returns:
+            Whether the reset shows that a target is full.
+        """
+        if self.current(at) is not None:
+            return True
+        earlier = self.reset_at
+        gap = math.inf if earlier is None else at - earlier
+        if gap >= MIN_RESET_GAP_SECONDS:
+            self.reset_at = at
+        return MIN_RESET_GAP_SECONDS <= gap <= MAX_RESET_GAP_SECONDS
+
     def observe_full(self, waiting: int, now: float) -> None:
         """Records that a target with such a queue took no further call.
 
