Bound what a target's nonsense load can do on all nodes

A target that refused a call and reported a billion waiting calls set the queue limit of its service on all nodes, so that pacing ended; an owner's nonsense report kept calls from it until its weight had decayed from a billion. A report, a refusal and a limit from another node now count only up to 100 waiting calls for each slot, where the slots are at most those of the listing, since a report may overstate them as well. Other nodes' calls in a report are bounded likewise, as their usual number already was.

--- a/src/jujubeyard/node/load_exchange.py
+++ b/src/jujubeyard/node/load_exchange.py
@@ -128,9 +128,16 @@
                 refusal.merge(row.level, now - row.age_seconds, now)
         for row in message.limits:
             limit = self._registry.queue_limits.get(row.service)
-            if limit is not None:
+            if limit is not None and self._is_plausible(row):
                 limit.merge(row.waiting, now - row.age_seconds)
 
+    def _is_plausible(self, row: datagrams.ServiceQueueLimit) -> bool:
+        """Returns whether so many calls may wait at any target of a service."""
+        return any(
+            row.waiting <= target.load.room.max_waiting(target.listing.slots)
+            for target in self._registry.service_targets(row.service)
+        )
+
     def apply(self, message: datagrams.TargetLoads, now: float) -> None:
         """Applies the load reports that other nodes received."""
         for aged in message.reports:
--- a/src/jujubeyard/scheduling/capacity.py
+++ b/src/jujubeyard/scheduling/capacity.py
@@ -50,6 +50,8 @@
         reset_at: When the target reset a connection and hasn't answered since;
             0.0 if it didn't.
         waiting_at_reset: Number of calls that were waiting then.
+        listed_slots: Number of calls that the target runs at once by its
+            listing; None if that isn't known.
     """
 
     target_id: str = ""
@@ -68,6 +70,17 @@
     waiting_at: float = 0.0
     reset_at: float = 0.0
     waiting_at_reset: int = 0
+    listed_slots: int | None = None
+
+    def max_waiting(self, slots: int) -> int:
+        """Returns the length of the longest plausible queue.
+
+        Args:
+            slots: Number of calls that the target runs at once by its report.
+        """
+        if self.listed_slots is not None:
+            slots = min(slots, self.listed_slots)
+        return MAX_WAITING_PER_SLOT * slots
 
     def observe_queue(
         self, waiting: int, slots: int, at: float, now: float
@@ -80,7 +93,7 @@
             at: When it was reported, in monotonic seconds.
             now: When the report came to this node, in monotonic seconds.
         """
-        if waiting > MAX_WAITING_PER_SLOT * slots:
+        if waiting > self.max_waiting(slots):
             return
         self._confirm_reset(waiting, slots, at)
         self.waiting = waiting
@@ -146,7 +159,8 @@
         Returns:
             The cause of the refusal.
         """
-        if running >= slots and self.limit.shows_full(waiting, slots, now):
+        is_busy = running >= slots and waiting <= self.max_waiting(slots)
+        if is_busy and self.limit.shows_full(waiting, slots, now):
             self.was_full = True
             self.limit.observe_full(waiting, now)
             return RefusalCause.FULL
--- a/src/jujubeyard/targets/loads.py
+++ b/src/jujubeyard/targets/loads.py
@@ -289,7 +289,8 @@
 
     def _reported_others(self) -> int:
         reported = self.report.running + self.report.waiting
-        return max(0, reported - 1 - self.in_flight_at_report)
+        others = max(0, reported - 1 - self.in_flight_at_report)
+        return min(others, self.room.max_waiting(self.report.slots))
 
     def queue_ratio(self, slots: int, now: float) -> float:
         """Returns the queue length before one more call, divided by the slots.
--- a/src/jujubeyard/targets/registry.py
+++ b/src/jujubeyard/targets/registry.py
@@ -170,6 +170,7 @@
             target = Target(listing, now, load=load)
             self.targets[listing.target_id] = target
         target.listing = listing
+        target.load.room.listed_slots = listing.slots
         target.removed_at = 0.0
         target.cold_until = now + listing.cold_seconds
         if not listing.draining:
--- a/tests/node/test_load_exchange.py
+++ b/tests/node/test_load_exchange.py
@@ -106,6 +106,21 @@
     assert not _send(leader, False, 100.1)
 
 
+@pytest.mark.parametrize(("waiting", "limit"), [(600, 600.0), (601, None)])
+def test_a_nonsense_queue_limit_is_ignored(waiting, limit):
+    source, other = _make_registry("t1"), _make_registry("t1")
+    source.queue_limit("pool").observe_full(waiting, 100.0)
+    _share_pressure(source, other)
+    assert other.queue_limit("pool").current(100.1) == limit
+
+
+def test_a_nonsense_report_keeps_calls_away_for_a_moment_only():
+    load = _make_registry("t1").targets["t1"].load
+    load.observe_report(loads.LoadReport(6, 10**9, 10**9, 1.0), 100.0)
+    assert load.estimate_others(100.0) == 600.0
+    assert load.estimate_others(104.0) < 1.0
+
+
 def test_a_node_of_an_earlier_version_still_reads_the_loads():
     source = _make_registry("t1")
     source.targets["t1"].load.observe_report(_report(9), 100.0)
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -34,6 +34,15 @@
     assert room.refusal.is_refusing(10.0) == (limit is None)
 
 
+@pytest.mark.parametrize("slots", [SLOTS, 10**9])
+def test_a_refusal_with_a_nonsense_load_shows_no_limit(slots):
+    room = _room()
+    room.listed_slots = SLOTS
+    cause = room.observe_refusal(slots, 10**9, slots, 10.0)
+    assert cause is capacity.RefusalCause.SHEDDING
+    assert room.limit.current(10.0) is None
+
+
 def test_a_target_isn_t_full_while_others_hold_longer_queues():
     limit = queue_limits.QueueLimit()
     for name in ("t2", "t3"):
