--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -44,6 +44,10 @@
     TARGET_FULL = "target has no room"
     """The target holds too much already. Nothing was sent."""
 
+    NO_MEMORY = "no memory for the answer"
+    """The call may have run, but the node can't hold the answer. The target
+    isn't at fault."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
@@ -185,12 +189,13 @@
             )
             async with contextlib.AsyncExitStack() as stack:
                 resp = await stack.enter_async_context(request)
+                headers = heads.decode_fields(resp.raw_headers)
                 body = await answer_stream.receive(
                     resp, MAX_ANSWER_BYTES, self._budget, deadline
                 )
                 if isinstance(body, answer_stream.AnswerStream):
                     stack.pop_all()
-                return _make_result(resp, body)
+                return _make_result(resp, headers, body)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -200,6 +205,8 @@
             if call.stream is not None and call.stream.note_timeout():
                 return SendResult(SendOutcome.CALLER_FAILED, detail=repr(exc))
             return SendResult(SendOutcome.TIMED_OUT, detail=repr(exc))
+        except bodies.BuffersFullError as exc:
+            return SendResult(SendOutcome.NO_MEMORY, detail=repr(exc))
         except (aiohttp.ClientError, OSError, ValueError) as exc:
             if call.stream is not None and call.stream.failure is not None:
                 return SendResult(SendOutcome.CALLER_FAILED, detail=repr(exc))
@@ -235,10 +242,11 @@
 
 
 def _make_result(
-    resp: connections.Response, body: bytes | answer_stream.AnswerStream
+    resp: connections.Response,
+    headers: collections.abc.Mapping[str, str],
+    body: bytes | answer_stream.AnswerStream,
 ) -> SendResult:
     """Returns the result of an answer, of which the start was read."""
-    headers = heads.decode_fields(resp.raw_headers)
     if isinstance(body, answer_stream.AnswerStream):
         answer = Answer(resp.status, headers, b"", body)
     elif answer_stream.is_cut(resp):
