--- a/tests/node/test_body_stream.py
+++ b/tests/node/test_body_stream.py
@@ -368,7 +368,7 @@
     content.feed_eof()
     with budget.hold(body_stream.WHOLE_BODY_BYTES) as holding:
         stream = body_stream.BodyStream(
-            content, None, b"", holding, 1_000_000, body_stream.begin_nothing
+            content, None, [], holding, 1_000_000, body_stream.begin_nothing
         )
     assert [block async for block in stream.iter_blocks()]
     assert budget.held_bytes == 0
