Refuse a waiting call at its latest start, not at the next check

Callers heard up to 50 ms after the latest start of their call that it found no room, and later on a busy machine: 0.617 s after a call with 0.5 s for waiting, once in a run of tests/node/test_waiting_room.py.

Cause: calls that can't make it were looked for each 50 ms only.

The check now comes at the next latest start of a waiting call if that is sooner.

Evidence: test_call_is_refused_at_its_latest_start failed before (timeout) and passes; tests/node/test_waiting_room.py passed three times in a row.

--- a/src/jujubeyard/node/waiting_room.py
+++ b/src/jujubeyard/node/waiting_room.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import time
 
 from jujubeyard import bodies
@@ -24,6 +25,9 @@
 """Longest time until waiting calls notice room of which nothing told them, as
 by a load report of another node or a new target."""
 
+CHECK_MARGIN_SECONDS = 0.001
+"""Time after a call's latest start at which it is checked."""
+
 MAX_WAITING_CALLS = 512
 """Calls that may wait at the node."""
 
@@ -448,10 +452,26 @@
         )
 
     def _schedule_check(self) -> None:
-        if self._check is None:
-            self._check = asyncio.get_running_loop().call_later(
-                CHECK_INTERVAL_SECONDS, self._check_lines
-            )
+        """Lets a check come soon, at the next latest start of a call if any."""
+        if self._check is not None:
+            return
+        now = time.monotonic()
+        next_start_by = min(
+            (
+                place.waiter.start_by
+                for line in self._lines.values()
+                for place in line.places.values()
+                if place.waiter.start_by > now
+            ),
+            default=math.inf,
+        )
+        self._check = asyncio.get_running_loop().call_later(
+            min(
+                CHECK_INTERVAL_SECONDS,
+                next_start_by - now + CHECK_MARGIN_SECONDS,
+            ),
+            self._check_lines,
+        )
 
     def _check_lines(self) -> None:
         """Refuses calls that won't get room in time, and lets others try."""
--- a/tests/node/test_waiting_room.py
+++ b/tests/node/test_waiting_room.py
@@ -316,3 +316,10 @@
     free_room(harness)
     assert (await task).status == 200
     assert find_waits(harness)[0]["outcome"] == waiting_room.GRANTED
+
+
+async def test_call_is_refused_at_its_latest_start(harness, monkeypatch):
+    monkeypatch.setattr(waiting_room, "CHECK_INTERVAL_SECONDS", 9.0)
+    async with asyncio.timeout(0.8):
+        reply = await harness.serve("read")
+    assert reply.code is codes.ResultCode.DEADLINE_UNREACHABLE
