Forget the objective of a priority that a service has no more

After the most urgent route of a service was taken away, callers of the others got the short queues at targets that its objective called for, for as long as the node ran.

Cause: the bounds kept the most urgent priority that they had ever seen.

When the configuration changes, objectives of priorities that no route of the service has are forgotten. Others are kept.

Evidence: test_queue_bound_follows_the_priorities_in_force failed before and passes, as do the cases of test_objective_of_a_priority_without_a_route_is_forgotten (new method).

--- a/src/jujubeyard/node/waiting_room.py
+++ b/src/jujubeyard/node/waiting_room.py
@@ -234,6 +234,7 @@
         if configuration is not self._configuration:
             self._configuration = configuration
             self._urgencies = waiting.find_priorities(configuration)
+            self._selector.queue_bounds.retain(self._urgencies)
         return len(self._urgencies.get(service, ())) > 1
 
     def _rank(self, state: attempts.CallState) -> int:
--- a/src/jujubeyard/scheduling/queue_bounds.py
+++ b/src/jujubeyard/scheduling/queue_bounds.py
@@ -58,6 +58,18 @@
         if urgency == current.urgency:
             current.observe(objective)
 
+    def retain(self, priorities: dict[str, list[int]]) -> None:
+        """Forgets objectives of priorities that a service has no more.
+
+        Args:
+            priorities: Priorities of the routes of each service.
+        """
+        self._objectives = {
+            service: objective
+            for service, objective in self._objectives.items()
+            if objective.urgency in priorities.get(service, ())
+        }
+
     def seconds(self, service: str, rank: int, work_seconds: float) -> float:
         """Returns how long a call may wait at a target, in seconds.
 
--- a/tests/node/test_waiting_room.py
+++ b/tests/node/test_waiting_room.py
@@ -323,3 +323,18 @@
     async with asyncio.timeout(0.8):
         reply = await harness.serve("read")
     assert reply.code is codes.ResultCode.DEADLINE_UNREACHABLE
+
+
+async def test_queue_bound_follows_the_priorities_in_force(harness):
+    free_room(harness)
+    await harness.serve("read")
+    routes = tuple(
+        dataclasses.replace(route, objective=8.0, urgency=2 + index)
+        for index, route in enumerate(test_forward.ROUTES)
+    )
+    harness.view.routes = match.RouteTable(
+        config.Configuration(2, routes, test_forward.SERVICES, 1000)
+    )
+    await harness.serve("read")
+    bounds = harness.forwarder._selector.queue_bounds
+    assert bounds.seconds("pool", 0, 0.1) == pytest.approx(4.0)
--- a/tests/scheduling/test_queue_bounds.py
+++ b/tests/scheduling/test_queue_bounds.py
@@ -29,3 +29,21 @@
         bounds.observe("desk", 2, 4.0)
         bounds.observe("desk", 1, 1.2)
     assert bounds.seconds("desk", 1, 0.2) < bounds.seconds("desk", 0, 0.2) < 1.2
+
+
+@pytest.mark.parametrize(
+    ("priorities", "seconds"),
+    [
+        pytest.param({"desk": [0, 2]}, 0.3, id="kept"),
+        pytest.param({"desk": [1, 2]}, 2.0, id="no such priority"),
+        pytest.param({}, 2.0, id="no such service"),
+    ],
+)
+def test_objective_of_a_priority_without_a_route_is_forgotten(
+    priorities, seconds
+):
+    bounds = queue_bounds.QueueBounds()
+    bounds.observe("desk", 0, 0.6)
+    bounds.retain(priorities)
+    bounds.observe("desk", 2, 4.0)
+    assert bounds.seconds("desk", 0, 0.1) == pytest.approx(seconds)
