Let waiting calls try when a large answer has been passed on

Calls waited up to 50 ms longer than needed when the room that they got was that of a call with a large answer.

Cause: the end of an answer that is passed on as it arrives took the call off its target's count, but told the waiting calls nothing.

Evidence: test_end_of_a_large_answer_lets_a_call_try (2 cases) failed before and passes; tests/node/test_forward.py passes.

--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -247,6 +247,9 @@
     ) -> None:
         """Records the end of an answer that was passed on as it arrived."""
         target.load.in_flight -= 1
+        self.waiting_room.tell_of_room(
+            state.service.name, target.listing.target_id
+        )
         if not stream.failure:
             return
         if stream.is_target_at_fault:
--- a/tests/node/test_waiting_room.py
+++ b/tests/node/test_waiting_room.py
@@ -338,3 +338,20 @@
     await harness.serve("read")
     bounds = harness.forwarder._selector.queue_bounds
     assert bounds.seconds("pool", 0, 0.1) == pytest.approx(4.0)
+
+
+@pytest.mark.parametrize("failure", ["", "reset"])
+async def test_end_of_a_large_answer_lets_a_call_try(
+    harness, monkeypatch, failure
+):
+    monkeypatch.setattr(waiting_room, "CHECK_INTERVAL_SECONDS", 9.0)
+    free_room(harness)
+    stream = test_forward.FakeAnswerStream(failure, False)
+    harness.client.script.insert(0, test_forward._make_streamed_answer(stream))
+    await harness.serve("order")
+    target = harness.view.registry.targets["t1"]
+    target.load.in_flight = FULL
+    (task,) = await start_calls(harness, [("read", None)])
+    target.load.in_flight = 1
+    stream.report_end()
+    assert (await asyncio.wait_for(task, 0.3)).status == 200
