Let the crowded queue give way when a node is full

While one queue held all places for waiting calls at a node, callers of all other services and owners were refused with 429 at once, however few they were and however urgent.

Cause: at the node's limit the call that gives way was always taken from the queue of the call that joined.

It is now taken from the queues that hold at least an equal share of the calls, or of the bodies if those are too large; of these, from the one with the least urgent calls.

Evidence: test_crowded_queue_gives_way_at_a_full_node (2 cases) failed before and passes; tests/scheduling/test_waiting.py passes unchanged.

--- a/src/jujubeyard/node/waiting_room.py
+++ b/src/jujubeyard/node/waiting_room.py
@@ -117,6 +117,14 @@
             self.places[waiter].turn.set()
             return
 
+    def waiting_bytes(self) -> int:
+        """Returns how much memory the bodies of its calls need."""
+        return sum(
+            place.body_bytes
+            for place in self.places.values()
+            if place.refusal is None
+        )
+
     def refuse(self, refusals: list[waiting.Refusal]) -> None:
         """Tells waiting calls that they are refused."""
         for refusal in refusals:
@@ -381,14 +389,37 @@
         self._waiting_calls += 1
         self._waiting_bytes += place.body_bytes
         self._metrics.add_waiting(state.service.name, waiter.urgency, 1)
+        now = waiter.joined_at
+        refusals = line.queue.join(waiter, now)
+        line.refuse(refusals)
         is_full = (
             self._waiting_calls > MAX_WAITING_CALLS
             or self._waiting_bytes > MAX_WAITING_BYTES
         )
-        line.refuse(line.queue.join(waiter, waiter.joined_at, is_full))
+        if is_full and not refusals:
+            crowded = self._find_crowded_line()
+            crowded.refuse([crowded.queue.displace(waiter, now)])
         self._schedule_check()
         return place
 
+    def _find_crowded_line(self) -> _Line:
+        """Returns the queue that gives way as too many calls wait at the node.
+
+        It is that with the least urgent calls, of those with at least an equal
+        share of the calls, or of the bodies if they are too large.
+        """
+        by_bytes = self._waiting_bytes > MAX_WAITING_BYTES
+        sizes = {
+            line: line.waiting_bytes() if by_bytes else len(line.queue)
+            for line in self._lines.values()
+            if len(line.queue)
+        }
+        equal_share = sum(sizes.values()) / len(sizes)
+        return max(
+            (line for line, size in sizes.items() if size >= equal_share),
+            key=lambda line: (line.queue.expendability(), sizes[line]),
+        )
+
     def _end_turn(self, line: _Line, waiter: lanes.Waiter) -> None:
         """Records that a call has found no room, and lets the next one try."""
         line.tried_routes.add(waiter.route)
--- a/src/jujubeyard/scheduling/waiting.py
+++ b/src/jujubeyard/scheduling/waiting.py
@@ -118,15 +118,12 @@
             if count
         }
 
-    def join(
-        self, waiter: lanes.Waiter, now: float, is_full: bool = False
-    ) -> list[Refusal]:
+    def join(self, waiter: lanes.Waiter, now: float) -> list[Refusal]:
         """Adds a call, unless it can't get room in time.
 
         Args:
             waiter: The call.
             now: Monotonic time, in seconds.
-            is_full: Whether no further call may wait in any queue.
 
         Returns:
             The calls that are refused because of it, perhaps itself.
@@ -137,13 +134,30 @@
             seconds = self._expected_seconds(ahead, waiter)
             return [_refuse(waiter, Reason.TOO_LATE, seconds)]
         self._add(waiter)
-        if not is_full and self._size <= self._limit:
+        if self._size <= self._limit:
             return []
+        return [self.displace(waiter, now)]
+
+    def displace(self, joined: lanes.Waiter, now: float) -> Refusal:
+        """Removes and returns the call that gives way as too many wait.
+
+        Args:
+            joined: The call that joined last, in this queue or another one.
+            now: Monotonic time, in seconds.
+        """
+        self._update(now)
         victim = self._least_important(now)
         seconds = self._expected_seconds(self._ahead(victim, now), victim)
         self.leave(victim, now)
-        reason = Reason.FULL if victim is waiter else Reason.DISPLACED
-        return [_refuse(victim, reason, seconds)]
+        reason = Reason.FULL if victim is joined else Reason.DISPLACED
+        return _refuse(victim, reason, seconds)
+
+    def expendability(self) -> tuple[bool, int]:
+        """Returns a key that is highest for the queues that give way first.
+
+        Calls must wait in the queue.
+        """
+        return max(map(self._expendability, self._lanes.values()))
 
     def leave(self, waiter: lanes.Waiter, now: float) -> None:
         """Removes a call that doesn't wait any more, if it is queued.
@@ -317,7 +331,7 @@
         has more than an equal share of the places. The only call of a route
         that is owed room stays.
         """
-        worst = max(map(self._expendability, self._lanes.values()))
+        worst = self.expendability()
         expendable = [
             lane
             for lane in self._lanes.values()
--- a/tests/node/test_waiting_room.py
+++ b/tests/node/test_waiting_room.py
@@ -355,3 +355,21 @@
     target.load.in_flight = 1
     stream.report_end()
     assert (await asyncio.wait_for(task, 0.3)).status == 200
+
+
+@pytest.mark.parametrize(
+    ("limit", "value", "body"),
+    [("MAX_WAITING_CALLS", 3, b""), ("MAX_WAITING_BYTES", 35, b"0123456789")],
+)
+async def test_crowded_queue_gives_way_at_a_full_node(
+    harness, monkeypatch, limit, value, body
+):
+    monkeypatch.setattr(waiting_room, limit, value)
+    tasks = []
+    for route, key in [("read", None)] * 3 + [("urgent", 5)]:
+        call = harness.serve(route, key=key, body=body)
+        tasks.append(asyncio.create_task(call))
+        await asyncio.sleep(0.01)
+    free_room(harness)
+    statuses = [reply.status for reply in await asyncio.gather(*tasks)]
+    assert statuses == [200, 200, 429, 200]
