--- a/src/jujubeyard/node/waiting_room.py
+++ b/src/jujubeyard/node/waiting_room.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import time
 
 from jujubeyard import bodies
@@ -24,6 +25,9 @@
 """Longest time until waiting calls notice room of which nothing told them, as
 by a load report of another node or a new target."""
 
+CHECK_MARGIN_SECONDS = 0.001
+"""Time after a call's latest start at which it is checked."""
+
 MAX_WAITING_CALLS = 512
 """Calls that may wait at the node."""
 
@@ -113,6 +117,14 @@
             self.places[waiter].turn.set()
             return
 
+    def waiting_bytes(self) -> int:
+        """Returns how much memory the bodies of its calls need."""
+        return sum(
+            place.body_bytes
+            for place in self.places.values()
+            if place.refusal is None
+        )
+
     def refuse(self, refusals: list[waiting.Refusal]) -> None:
         """Tells waiting calls that they are refused."""
         for refusal in refusals:
@@ -230,6 +242,7 @@
         if configuration is not self._configuration:
             self._configuration = configuration
             self._urgencies = waiting.find_priorities(configuration)
+            self._selector.queue_bounds.retain(self._urgencies)
         return len(self._urgencies.get(service, ())) > 1
 
     def _rank(self, state: attempts.CallState) -> int:
@@ -376,14 +389,37 @@
         self._waiting_calls += 1
         self._waiting_bytes += place.body_bytes
         self._metrics.add_waiting(state.service.name, waiter.urgency, 1)
+        now = waiter.joined_at
+        refusals = line.queue.join(waiter, now)
+        line.refuse(refusals)
         is_full = (
             self._waiting_calls > MAX_WAITING_CALLS
             or self._waiting_bytes > MAX_WAITING_BYTES
         )
-        line.refuse(line.queue.join(waiter, waiter.joined_at, is_full))
+        if is_full and not refusals:
+            crowded = self._find_crowded_line()
+            crowded.refuse([crowded.queue.displace(waiter, now)])
         self._schedule_check()
         return place
 
+    def _find_crowded_line(self) -> _Line:
+        """Returns the queue that gives way as too many calls wait at the node.
+
+        It is that with the least urgent calls, of those with at least an equal
+        share of the calls, or of the bodies if they are too large.
+        """
+        by_bytes = self._waiting_bytes > MAX_WAITING_BYTES
+        sizes = {
+            line: line.waiting_bytes() if by_bytes else len(line.queue)
+            for line in self._lines.values()
+            if len(line.queue)
+        }
+        equal_share = sum(sizes.values()) / len(sizes)
+        return max(
+            (line for line, size in sizes.items() if size >= equal_share),
+            key=lambda line: (line.queue.expendability(), sizes[line]),
+        )
+
     def _end_turn(self, line: _Line, waiter: lanes.Waiter) -> None:
         """Records that a call has found no room, and lets the next one try."""
         line.tried_routes.add(waiter.route)
@@ -448,10 +484,26 @@
         )
 
     def _schedule_check(self) -> None:
-        if self._check is None:
-            self._check = asyncio.get_running_loop().call_later(
-                CHECK_INTERVAL_SECONDS, self._check_lines
-            )
+        """Lets a check come soon, at the next latest start of a call if any."""
+        if self._check is not None:
+            return
+        now = time.monotonic()
+        next_start_by = min(
+            (
+                place.waiter.start_by
+                for line in self._lines.values()
+                for place in line.places.values()
+                if place.waiter.start_by > now
+            ),
+            default=math.inf,
+        )
+        self._check = asyncio.get_running_loop().call_later(
+            min(
+                CHECK_INTERVAL_SECONDS,
+                next_start_by - now + CHECK_MARGIN_SECONDS,
+            ),
+            self._check_lines,
+        )
 
     def _check_lines(self) -> None:
         """Refuses calls that won't get room in time, and lets others try."""
--- a/tests/node/test_waiting_room.py
+++ b/tests/node/test_waiting_room.py
@@ -316,3 +316,60 @@
     free_room(harness)
     assert (await task).status == 200
     assert find_waits(harness)[0]["outcome"] == waiting_room.GRANTED
+
+
+async def test_call_is_refused_at_its_latest_start(harness, monkeypatch):
+    monkeypatch.setattr(waiting_room, "CHECK_INTERVAL_SECONDS", 9.0)
+    async with asyncio.timeout(0.8):
+        reply = await harness.serve("read")
+    assert reply.code is codes.ResultCode.DEADLINE_UNREACHABLE
+
+
+async def test_queue_bound_follows_the_priorities_in_force(harness):
+    free_room(harness)
+    await harness.serve("read")
+    routes = tuple(
+        dataclasses.replace(route, objective=8.0, urgency=2 + index)
+        for index, route in enumerate(test_forward.ROUTES)
+    )
+    harness.view.routes = match.RouteTable(
+        config.Configuration(2, routes, test_forward.SERVICES, 1000)
+    )
+    await harness.serve("read")
+    bounds = harness.forwarder._selector.queue_bounds
+    assert bounds.seconds("pool", 0, 0.1) == pytest.approx(4.0)
+
+
+@pytest.mark.parametrize("failure", ["", "reset"])
+async def test_end_of_a_large_answer_lets_a_call_try(
+    harness, monkeypatch, failure
+):
+    monkeypatch.setattr(waiting_room, "CHECK_INTERVAL_SECONDS", 9.0)
+    free_room(harness)
+    stream = test_forward.FakeAnswerStream(failure, False)
+    harness.client.script.insert(0, test_forward._make_streamed_answer(stream))
+    await harness.serve("order")
+    target = harness.view.registry.targets["t1"]
+    target.load.in_flight = FULL
+    (task,) = await start_calls(harness, [("read", None)])
+    target.load.in_flight = 1
+    stream.report_end()
+    assert (await asyncio.wait_for(task, 0.3)).status == 200
+
+
+@pytest.mark.parametrize(
+    ("limit", "value", "body"),
+    [("MAX_WAITING_CALLS", 3, b""), ("MAX_WAITING_BYTES", 35, b"0123456789")],
+)
+async def test_crowded_queue_gives_way_at_a_full_node(
+    harness, monkeypatch, limit, value, body
+):
+    monkeypatch.setattr(waiting_room, limit, value)
+    tasks = []
+    for route, key in [("read", None)] * 3 + [("urgent", 5)]:
+        call = harness.serve(route, key=key, body=body)
+        tasks.append(asyncio.create_task(call))
+        await asyncio.sleep(0.01)
+    free_room(harness)
+    statuses = [reply.status for reply in await asyncio.gather(*tasks)]
+    assert statuses == [200, 200, 429, 200]
