Return the credit of a call that its target's bound refuses

At a service with a known queue limit, a call without a key first spent a whole credit of its priority and was then refused by the queue bound of the chosen target. The credit was lost, so that fewer calls were sent than the share said, and waiting calls, which try again and again, used up what others had earned. The decision now carries the credit, and the selector returns it if the target isn't sent the call. A call still earns whether it is sent or not.

--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -108,14 +108,16 @@
         """
         paced = self._make_paced_call(state)
         state.lacks_room = False
+        decision = room.ADMITTED
         if state.is_keyed:
             target = await self._owner_lookup.find_owner(state)
         else:
-            target = self._choose_pooled_target(state, paced)
+            target, decision = self._choose_pooled_target(state, paced)
         if target is None:
             return None
         now = time.monotonic()
         if not self._admit(state, target, paced, now):
+            decision.give_back()
             return None
         return target
 
@@ -133,8 +135,12 @@
 
     def _choose_pooled_target(
         self, state: attempts.CallState, paced: room.PacedCall
-    ) -> registry.Target | None:
-        """Returns the best target for a call that any target may serve."""
+    ) -> tuple[registry.Target | None, room.Decision]:
+        """Returns the best target for a call that any target may serve.
+
+        With it, returns the decision whether the targets have room for the
+        call.
+        """
         now = time.monotonic()
         nodes = self._view.node_count()
         limit = state.service.max_connections
@@ -154,8 +160,9 @@
             [target.load.room.refusal.current(now) for target in candidates],
             self._rng,
         )
-        if candidates and not self._has_room(state, candidates, paced, now):
-            return None
+        decision = self._decide_on_room(state, candidates, paced, now)
+        if not self._apply_decision(state, paced, decision, "", 0.0):
+            return None, decision
         target = balancing.choose_target(
             candidates,
             self._cfg.zone,
@@ -170,30 +177,26 @@
                 attempts.NO_TARGET_RETRY_SECONDS,
                 self._shortest_pause(state.service.name, now),
             )
-        return target
+        return target, decision
 
-    def _has_room(
+    def _decide_on_room(
         self,
         state: attempts.CallState,
         targets: list[registry.Target],
         paced: room.PacedCall,
         now: float,
-    ) -> bool:
-        """Returns whether the targets together have room for a call.
-
-        If not, the result code and the retry time are set in the state.
-        """
-        if targets[0].load.room.limit.current(now) is None:
-            return True
+    ) -> room.Decision:
+        """Decides whether targets together have room for a call."""
+        if not targets or targets[0].load.room.limit.current(now) is None:
+            return room.ADMITTED
         slots = statistics.fmean(target.listing.slots for target in targets)
         work_seconds = targets[0].load.service_work.mean()
-        decision = self._room_keeper.admit_to_any(
+        return self._room_keeper.admit_to_any(
             paced,
             [target.load.room for target in targets],
             work_seconds / max(slots, 1.0),
             now,
         )
-        return self._apply_decision(state, paced, decision, "", 0.0)
 
     def _apply_decision(
         self,
--- a/src/jujubeyard/scheduling/room.py
+++ b/src/jujubeyard/scheduling/room.py
@@ -58,6 +58,7 @@
         share: Share of calls of its priority that is admitted.
         waiting: Reported number of waiting calls.
         limit: Number of calls that can wait; None if it isn't known.
+        credit: What the call was taken from; None if it needed no credit.
     """
 
     is_admitted: bool
@@ -65,6 +66,12 @@
     share: float = 1.0
     waiting: float = 0.0
     limit: float | None = None
+    credit: thinning.Credit | None = None
+
+    def give_back(self) -> None:
+        """Returns the credit of an admitted call that isn't sent."""
+        if self.credit is not None:
+            self.credit.give_back()
 
 
 ADMITTED = Decision(True)
@@ -167,6 +174,7 @@
             share,
             waiting,
             limit,
+            credit if is_admitted else None,
         )
 
     def _mix(self, service: str) -> thinning.UrgencyMix:
--- a/src/jujubeyard/scheduling/thinning.py
+++ b/src/jujubeyard/scheduling/thinning.py
@@ -124,6 +124,10 @@
         self.calls -= 1.0
         return True
 
+    def give_back(self) -> None:
+        """Returns a spent call to the credit, as it wasn't sent."""
+        self.calls = min(self.calls + 1.0, MAX_CREDIT)
+
     def seconds_until_call(self, share: float) -> float:
         """Returns when the credit will suffice for a call, in seconds."""
         missing = max(0.0, 1.0 - self.calls)
