Let calls wait for a connection at a target where calls wait

At a service whose calls may wait at the node, a call without a key was refused at once with NO_TARGET when each target had this node's share of connections in use: it was told that there is none, and lost its place to calls that came later and found a connection. An owner's call waited in the same case. Such a call now lacks room (OVERLOADED) and waits its turn; the end of a call lets it try again. Where calls don't wait the refusal stays as it was.

--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -144,7 +144,7 @@
         now = time.monotonic()
         nodes = self._view.node_count()
         limit = state.service.max_connections
-        candidates = [
+        suitable = [
             target
             for target in self._view.registry.service_targets(
                 state.service.name
@@ -152,9 +152,16 @@
             if target.listing.target_id not in state.tried_targets
             and self._view.registry.is_available(target, now)
             and not target.load.pause_seconds(now)
-            and admission.has_spare_connection(target, limit, nodes)
             and self._may_send_if_cold(state.service, target, now)
         ]
+        candidates = [
+            target
+            for target in suitable
+            if admission.has_spare_connection(target, limit, nodes)
+        ]
+        if state.may_wait and suitable and not candidates:
+            self._record_lack_of_connections(state, suitable, paced, now)
+            return None, room.ADMITTED
         candidates = refusals.prefer_accepting(
             candidates,
             [target.load.room.refusal.current(now) for target in candidates],
@@ -179,6 +186,26 @@
             )
         return target, decision
 
+    def _record_lack_of_connections(
+        self,
+        state: attempts.CallState,
+        targets: list[registry.Target],
+        paced: room.PacedCall,
+        now: float,
+    ) -> None:
+        """Records that a call may wait until a target has a connection."""
+        expected_seconds = min(
+            target.load.expected_seconds(target.listing.slots, now)
+            for target in targets
+        )
+        state.latest_code = codes.ResultCode.OVERLOADED
+        state.lacks_room = True
+        state.retry_after = admission.retry_after(
+            expected_seconds, state.route.objective
+        )
+        if paced.is_new:
+            self._metrics.count_lacking_room(paced.service, paced.urgency)
+
     def _decide_on_room(
         self,
         state: attempts.CallState,
--- a/tests/node/test_selection.py
+++ b/tests/node/test_selection.py
@@ -7,6 +7,7 @@
 from jujubeyard import codes
 from jujubeyard.scheduling import capacity
 from tests.node import test_forward
+from tests.node import test_waiting_room
 
 
 @pytest.fixture
@@ -41,3 +42,32 @@
     reply = await harness.serve("read")
     assert reply.code is code
     assert credit.calls == pytest.approx(before + share - spent, abs=0.02)
+
+
+@pytest.mark.parametrize(
+    ("urgencies", "is_freed", "code"),
+    [
+        pytest.param({"read": 0}, True, codes.ResultCode.OK, id="served"),
+        pytest.param(
+            {"read": 0},
+            False,
+            codes.ResultCode.DEADLINE_UNREACHABLE,
+            id="waits in vain",
+        ),
+        pytest.param({}, True, codes.ResultCode.NO_TARGET, id="no waiting"),
+    ],
+)
+async def test_a_call_waits_for_a_connection_where_calls_wait(
+    harness, urgencies, is_freed, code
+):
+    test_waiting_room.give_priorities(harness, urgencies)
+    target = harness.add_target("t1", slots=1000)
+    target.load.in_flight = 120
+    harness.client.script = [test_forward.make_answer()]
+    task = asyncio.create_task(harness.serve("read"))
+    await asyncio.sleep(0.02)
+    target.load.in_flight -= is_freed * 60
+    reply = await task
+    assert reply.code is code
+    waits = test_waiting_room.find_waits(harness)
+    assert len(waits) == len(urgencies)
