Bound the datagrams of pressed loads on all nodes

Above 120 nodes, loads of pressed targets are meant to travel each 0.4 s only. The bound was on the nodes that had sent a datagram lately; a node that doesn't lead hears of the leader alone, so each of 300 nodes still sent the leader ten datagrams a second. A former leader, which sends nothing to its peers, kept them all and was bounded by chance. All nodes now go by the number of listed nodes, and forget old peers as they send their reports. The reporter is told the number; the harness of test_forward.py passes it as well.

No run with 300 nodes was made.

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -226,6 +226,7 @@
             self._table_synchronizer.make_beacon,
             load_exchange.LoadExchange(self._view.registry),
             log,
+            self._view.node_count,
         )
         self._coordinator_runner = tasks.CoordinatorRunner(
             self._leadership,
--- a/src/jujubeyard/node/reporting.py
+++ b/src/jujubeyard/node/reporting.py
@@ -17,9 +17,9 @@
 PRESSED_SENDS = 4
 """Times that loads of pressed targets are sent in each such interval."""
 
-MAX_PEERS_FOR_PRESSED = 120
-"""Number of nodes above which the leader doesn't send loads of pressed targets
-more often than others, to bound its datagrams."""
+MAX_NODES_FOR_PRESSED = 120
+"""Number of nodes above which none sends loads of pressed targets more often
+than others, to bound the leader's datagrams."""
 
 IDLE_SECONDS = 1.0
 """Time after the last datagram to the leader after which a node sends an empty
@@ -55,6 +55,7 @@
         make_beacon: collections.abc.Callable[[], datagrams.Beacon | None],
         exchange: load_exchange.LoadExchange,
         log: journal.Journal,
+        get_node_count: collections.abc.Callable[[], int],
     ):
         """Creates a reporter.
 
@@ -68,7 +69,9 @@
                 leader.
             exchange: Exchange of target loads between the nodes.
             log: Log of malformed datagrams.
+            get_node_count: Returns the number of listed nodes.
         """
+        self._get_node_count = get_node_count
         self._get_leader_address = get_leader_address
         self._handle_report = handle_report
         self._handle_update = handle_update
@@ -107,6 +110,7 @@
             await asyncio.sleep(REPORT_SECONDS / PRESSED_SENDS)
             for meter in list(self._meters.values()):
                 self._send_report(meter)
+            self._forget_peers()
             self._send_beacon()
             self._send_loads()
 
@@ -123,7 +127,7 @@
 
     def _send_pressed_loads(self) -> None:
         """Sends what other nodes need to know at once to pace their calls."""
-        is_bounded = len(self._peers) <= MAX_PEERS_FOR_PRESSED
+        is_bounded = self._get_node_count() <= MAX_NODES_FOR_PRESSED
         if is_bounded and self._exchange.knows_limits():
             self._send_loads(only_pressed=True)
 
@@ -152,13 +156,17 @@
         data = datagrams.encode(message)
         self._transport.sendto(data, (leader_address.host, leader_address.port))
 
-    def _send_to_peers(self, data: bytes) -> None:
+    def _forget_peers(self) -> None:
+        """Forgets the nodes that sent no datagram for some time."""
         cutoff = time.monotonic() - PEER_SECONDS
         self._peers = {
             peer: received_at
             for peer, received_at in self._peers.items()
             if received_at > cutoff
         }
+
+    def _send_to_peers(self, data: bytes) -> None:
+        self._forget_peers()
         for peer in self._peers:
             self._transport.sendto(data, peer)
 
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -94,7 +94,14 @@
             self.metrics,
             self.log,
             reporting.Reporter(
-                lambda: None, None, None, None, lambda: None, None, self.log
+                lambda: None,
+                None,
+                None,
+                None,
+                lambda: None,
+                None,
+                self.log,
+                self.view.node_count,
             ),
         )
 
