--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -108,14 +108,16 @@
         """
         paced = self._make_paced_call(state)
         state.lacks_room = False
+        decision = room.ADMITTED
         if state.is_keyed:
             target = await self._owner_lookup.find_owner(state)
         else:
-            target = self._choose_pooled_target(state, paced)
+            target, decision = self._choose_pooled_target(state, paced)
         if target is None:
             return None
         now = time.monotonic()
         if not self._admit(state, target, paced, now):
+            decision.give_back()
             return None
         return target
 
@@ -133,12 +135,16 @@
 
     def _choose_pooled_target(
         self, state: attempts.CallState, paced: room.PacedCall
-    ) -> registry.Target | None:
-        """Returns the best target for a call that any target may serve."""
+    ) -> tuple[registry.Target | None, room.Decision]:
+        """Returns the best target for a call that any target may serve.
+
+        With it, returns the decision whether the targets have room for the
+        call.
+        """
         now = time.monotonic()
         nodes = self._view.node_count()
         limit = state.service.max_connections
-        candidates = [
+        suitable = [
             target
             for target in self._view.registry.service_targets(
                 state.service.name
@@ -146,16 +152,24 @@
             if target.listing.target_id not in state.tried_targets
             and self._view.registry.is_available(target, now)
             and not target.load.pause_seconds(now)
-            and admission.has_spare_connection(target, limit, nodes)
             and self._may_send_if_cold(state.service, target, now)
         ]
+        candidates = [
+            target
+            for target in suitable
+            if admission.has_spare_connection(target, limit, nodes)
+        ]
+        if state.may_wait and suitable and not candidates:
+            self._record_lack_of_connections(state, suitable, paced, now)
+            return None, room.ADMITTED
         candidates = refusals.prefer_accepting(
             candidates,
             [target.load.room.refusal.current(now) for target in candidates],
             self._rng,
         )
-        if candidates and not self._has_room(state, candidates, paced, now):
-            return None
+        decision = self._decide_on_room(state, candidates, paced, now)
+        if not self._apply_decision(state, paced, decision, "", 0.0):
+            return None, decision
         target = balancing.choose_target(
             candidates,
             self._cfg.zone,
@@ -170,30 +184,46 @@
                 attempts.NO_TARGET_RETRY_SECONDS,
                 self._shortest_pause(state.service.name, now),
             )
-        return target
+        return target, decision
 
-    def _has_room(
+    def _record_lack_of_connections(
         self,
         state: attempts.CallState,
         targets: list[registry.Target],
         paced: room.PacedCall,
         now: float,
-    ) -> bool:
-        """Returns whether the targets together have room for a call.
+    ) -> None:
+        """Records that a call may wait until a target has a connection."""
+        expected_seconds = min(
+            target.load.expected_seconds(target.listing.slots, now)
+            for target in targets
+        )
+        state.latest_code = codes.ResultCode.OVERLOADED
+        state.lacks_room = True
+        state.retry_after = admission.retry_after(
+            expected_seconds, state.route.objective
+        )
+        if paced.is_new:
+            self._metrics.count_lacking_room(paced.service, paced.urgency)
 
-        If not, the result code and the retry time are set in the state.
-        """
-        if targets[0].load.room.limit.current(now) is None:
-            return True
+    def _decide_on_room(
+        self,
+        state: attempts.CallState,
+        targets: list[registry.Target],
+        paced: room.PacedCall,
+        now: float,
+    ) -> room.Decision:
+        """Decides whether targets together have room for a call."""
+        if not targets or targets[0].load.room.limit.current(now) is None:
+            return room.ADMITTED
         slots = statistics.fmean(target.listing.slots for target in targets)
         work_seconds = targets[0].load.service_work.mean()
-        decision = self._room_keeper.admit_to_any(
+        return self._room_keeper.admit_to_any(
             paced,
             [target.load.room for target in targets],
             work_seconds / max(slots, 1.0),
             now,
         )
-        return self._apply_decision(state, paced, decision, "", 0.0)
 
     def _apply_decision(
         self,
