Read an answer's headers before its body is held

What callers saw: nothing at once. Each large answer with a control character in its head kept 213 KB of the budget and its connection for good, until new calls were refused for want of memory. Cause: the stream was detached before its headers were decoded, which may fail. Change: the headers are decoded before the body is received. Evidence: test_large_answer_with_a_malformed_header_is_not_held failed before (212992 bytes held), passes now.

--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -185,12 +185,13 @@
             )
             async with contextlib.AsyncExitStack() as stack:
                 resp = await stack.enter_async_context(request)
+                headers = heads.decode_fields(resp.raw_headers)
                 body = await answer_stream.receive(
                     resp, MAX_ANSWER_BYTES, self._budget, deadline
                 )
                 if isinstance(body, answer_stream.AnswerStream):
                     stack.pop_all()
-                return _make_result(resp, body)
+                return _make_result(resp, headers, body)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -235,10 +236,11 @@
 
 
 def _make_result(
-    resp: connections.Response, body: bytes | answer_stream.AnswerStream
+    resp: connections.Response,
+    headers: collections.abc.Mapping[str, str],
+    body: bytes | answer_stream.AnswerStream,
 ) -> SendResult:
     """Returns the result of an answer, of which the start was read."""
-    headers = heads.decode_fields(resp.raw_headers)
     if isinstance(body, answer_stream.AnswerStream):
         answer = Answer(resp.status, headers, b"", body)
     elif answer_stream.is_cut(resp):
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -325,3 +325,14 @@
     async with raw_server.RawServer(script) as server:
         result = await client.send(_make_call(server.address))
     assert result.outcome is BROKEN
+
+
+async def test_large_answer_with_a_malformed_header_is_not_held():
+    budget = memory.MemoryBudget(MAX_HELD_BYTES)
+    client = upstream.UpstreamClient(NAMES, budget)
+    head = HEAD + b"X-Odd: a\x01b\r\nContent-Length: 400000\r\n\r\n"
+    async with raw_server.RawServer([head, b"x" * 400_000]) as server:
+        result = await client.send(_make_call(server.address))
+    assert result.outcome is BROKEN
+    assert budget.held_bytes == 0
+    await client.close()
