Count nothing of a body whose call has been answered

What callers saw: uploads refused for want of memory, or their target as full, long after the calls that had filled it. Cause: a target may answer while it still reads the body. The body went on being sent and counted after its counts had been closed: 65,536 bytes too few held each time, and bytes sent to the target that were never taken off. Change: a holding that is released and a body whose call has ended count nothing. Evidence: two tests of both counts failed before (3 cases), pass now; test_body_stream.py and test_memory.py pass (34).

--- a/src/jujubeyard/memory.py
+++ b/src/jujubeyard/memory.py
@@ -39,6 +39,7 @@
     def __init__(self, budget: "MemoryBudget", held_bytes: int):
         self._budget = budget
         self._is_closed = False
+        self._is_released = False
         self.held_bytes = 0
         self.add(held_bytes)
 
@@ -49,13 +50,16 @@
         self.release()
 
     def add(self, count: int) -> None:
-        """Counts further bytes; a negative number counts fewer."""
+        """Counts further bytes, or fewer, unless the holding is released."""
+        if self._is_released:
+            return
         self.held_bytes += count
         self._budget.count(count)
 
     def release(self) -> None:
         """Counts nothing any more."""
         self.add(-self.held_bytes)
+        self._is_released = True
 
     def close(self) -> None:
         """Makes the next `grow()`, or one in progress, fail."""
--- a/src/jujubeyard/node/sent_bytes.py
+++ b/src/jujubeyard/node/sent_bytes.py
@@ -17,12 +17,14 @@
         self._address = address
         self._known_bytes = 0
         self._sent_bytes = 0
+        self._is_ended = False
         self.is_admitted = is_admitted
 
     def __enter__(self) -> "SentBody":
         return self
 
     def __exit__(self, *_) -> None:
+        self._is_ended = True
         self._counts[self._address] -= self._known_bytes
         if not self._counts[self._address]:
             del self._counts[self._address]
@@ -33,7 +35,12 @@
         self._counts[self._address] += count
 
     def count(self, count: int) -> None:
-        """Counts bytes that are sent, unless their size was known before."""
+        """Counts bytes that are sent, unless their size was known before.
+
+        A body may still be sent for a while when its call has been answered.
+        """
+        if self._is_ended:
+            return
         self._sent_bytes += count
         self.expect(max(0, self._sent_bytes - self._known_bytes))
 
--- a/tests/node/test_body_stream.py
+++ b/tests/node/test_body_stream.py
@@ -350,3 +350,25 @@
         assert counts.begin("b:1", known).is_admitted
     with counts.begin("a:1", 100) as body:
         assert body.is_admitted
+
+
+@pytest.mark.parametrize("known", [0, 70])
+def test_what_is_sent_of_a_body_after_its_answer_is_not_counted(known):
+    counts = sent_bytes.SentBytes(100)
+    with counts.begin("a:1", known) as body:
+        body.count(60)
+    body.count(60)
+    assert not counts._counts
+
+
+async def test_body_that_outlives_its_call_is_not_counted():
+    budget = memory.MemoryBudget(1_000_000)
+    content = asyncio.StreamReader()
+    content.feed_data(BODY)
+    content.feed_eof()
+    with budget.hold(body_stream.WHOLE_BODY_BYTES) as holding:
+        stream = body_stream.BodyStream(
+            content, None, b"", holding, 1_000_000, body_stream.begin_nothing
+        )
+    assert [block async for block in stream.iter_blocks()]
+    assert budget.held_bytes == 0
