Give up a response whose connection is lost already

What callers saw: a large answer failed with an error of the router when memory was short and another caller had just left. Cause: the reset of the other connection set an option of its closed socket. Change: the option is only set while the connection is open. Evidence: test_response_whose_connection_is_lost_is_given_up_all_the_same failed before with OSError, passes now.

--- a/src/jujubeyard/responses.py
+++ b/src/jujubeyard/responses.py
@@ -78,10 +78,11 @@
             self.unread_bytes,
             time.monotonic() - self._started_at,
         )
-        sock = self.transport.get_extra_info("socket")
-        sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, connections.RESET_ON_CLOSE
-        )
+        if not self.transport.is_closing():
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, connections.RESET_ON_CLOSE
+            )
         self.transport.abort()
         self._report(abandoned)
 
