End a large answer whose caller leaves as it begins

What callers saw: nothing at once. The answer's memory and its connection to the target were held for good, and the target counted a call in progress. Cause: the request of a pipelined call was cancelled when its call had just been answered, so that neither of them closed the answer. Change: the call is discarded when the wait for it is cancelled. Evidence: test_large_answer_ends_when_the_caller_leaves_as_it_begins failed without the handling of the cancellation, passes now.

--- a/src/jujubeyard/node/pipelining.py
+++ b/src/jujubeyard/node/pipelining.py
@@ -147,6 +147,19 @@
         )
 
 
+async def take_reply(early_call: asyncio.Task[calls.Reply]) -> calls.Reply:
+    """Returns the reply to an early call whose turn it is.
+
+    Args:
+        early_call: The call; it is discarded if the caller leaves meanwhile.
+    """
+    try:
+        return await early_call
+    except asyncio.CancelledError:
+        _discard(early_call)
+        raise
+
+
 def _discard(early_call: asyncio.Task[calls.Reply]) -> None:
     """Ends an early call whose answer nobody awaits any more."""
     if not early_call.done():
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -140,7 +140,9 @@
         early_call = req.protocol.take_early_call(req)
         req.protocol.start_waiting_calls()
         if early_call is not None:
-            return self._make_response(req, await early_call)
+            return self._make_response(
+                req, await pipelining.take_reply(early_call)
+            )
         try:
             timeout_seconds = self._parse_timeout(req.headers)
         except ValueError:
--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -520,6 +520,26 @@
     assert harness.server._server.early_count == 0
 
 
+async def test_large_answer_ends_when_the_caller_leaves_as_it_begins():
+    class FakeStream:
+        is_closed = False
+
+        def close(self):
+            self.is_closed = True
+
+    stream = FakeStream()
+    early_call = asyncio.get_running_loop().create_future()
+    taking = asyncio.create_task(pipelining.take_reply(early_call))
+    await asyncio.sleep(0)
+    early_call.set_result(
+        calls.Reply(codes.ResultCode.OK, 200, {"X": "1"}, b"", stream=stream)
+    )
+    taking.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await taking
+    assert stream.is_closed
+
+
 async def test_flood_of_pipelined_calls_is_bounded_and_answered_in_order(
     harness,
 ):
