Don't blame a target for the node's lack of memory

What callers saw: calls kept away from healthy targets, and queue limits learned from resets that weren't any, when a node was short of memory. Cause: an answer given up for want of memory counted as broken off by its target. Change: an outcome of its own: the call may have run, the target isn't at fault.

--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -313,6 +313,9 @@
             return None
         if outcome is upstream.SendOutcome.CALLER_FAILED:
             return calls.make_error_reply(state.call.stream.failure)
+        if outcome is upstream.SendOutcome.NO_MEMORY:
+            state.may_have_run = True
+            return None
         target.load.observe_failure()
         if outcome is upstream.SendOutcome.NOT_SENT:
             target.load.avoid_until = now + UNREACHABLE_AVOID_SECONDS
--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -44,6 +44,10 @@
     TARGET_FULL = "target has no room"
     """The target holds too much already. Nothing was sent."""
 
+    NO_MEMORY = "no memory for the answer"
+    """The call may have run, but the node can't hold the answer. The target
+    isn't at fault."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
@@ -201,6 +205,8 @@
             if call.stream is not None and call.stream.note_timeout():
                 return SendResult(SendOutcome.CALLER_FAILED, detail=repr(exc))
             return SendResult(SendOutcome.TIMED_OUT, detail=repr(exc))
+        except bodies.BuffersFullError as exc:
+            return SendResult(SendOutcome.NO_MEMORY, detail=repr(exc))
         except (aiohttp.ClientError, OSError, ValueError) as exc:
             if call.stream is not None and call.stream.failure is not None:
                 return SendResult(SendOutcome.CALLER_FAILED, detail=repr(exc))
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -160,6 +160,7 @@
 
 CALLER_FAILED = upstream.SendResult(upstream.SendOutcome.CALLER_FAILED)
 TARGET_FULL = upstream.SendResult(upstream.SendOutcome.TARGET_FULL)
+NO_MEMORY = upstream.SendResult(upstream.SendOutcome.NO_MEMORY)
 
 
 class FakeStream:
@@ -212,6 +213,20 @@
         assert not any(target.load.avoid_until for target in targets)
 
 
+@pytest.mark.parametrize(
+    ("route", "script", "status"),
+    [("order", [NO_MEMORY], 502), ("read", [NO_MEMORY, make_answer()], 200)],
+)
+async def test_target_is_not_blamed_for_the_memory_of_the_node(
+    harness, route, script, status
+):
+    targets = [harness.add_target("t1"), harness.add_target("t2")]
+    harness.client.script = list(script)
+    assert (await harness.serve(route)).status == status
+    assert not any(target.load.avoid_until for target in targets)
+    assert not any(target.load.failure_rate for target in targets)
+
+
 class FakeAnswerStream:
     def __init__(self, failure, is_target_at_fault):
         self.length = 1_000_000
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -336,3 +336,14 @@
     assert result.outcome is BROKEN
     assert budget.held_bytes == 0
     await client.close()
+
+
+async def test_answer_without_memory_for_it_is_no_fault_of_the_target():
+    budget = memory.MemoryBudget(100)
+    client = upstream.UpstreamClient(NAMES, budget)
+    script = [raw_server.answer("c1", b"x" * 1000)]
+    async with raw_server.RawServer(script) as server:
+        result = await client.send(_make_call(server.address))
+    assert result.outcome is upstream.SendOutcome.NO_MEMORY
+    assert budget.held_bytes == 0
+    await client.close()
