Count no attempt where a target had no room for a body

What callers saw: 503 for uploads while other targets had room, and retries of other calls refused. Cause: a target that a node passed over, without sending anything, used up one of the call's attempts and a retry of the service. Change: it only leaves the target out for this call. A keyed call, which has no other target, counts it as before. Evidence: test_full_target_uses_up_no_attempt (3 cases) failed before, passes now; test_forward.py passes (93).

--- a/src/jujubeyard/node/attempts.py
+++ b/src/jujubeyard/node/attempts.py
@@ -43,6 +43,8 @@
         deadline: When the caller stops waiting, in monotonic seconds.
         tried_targets: IDs of the targets that the call was sent to, one entry
             per attempt. An entry is empty if its target may be tried again.
+        unsent_count: Number of these entries that don't count as attempts: the
+            call wasn't sent, as the target had no room for its body.
         contacted_targets: IDs of all targets that the call was sent to.
         may_have_run: Whether a target may have run the call.
         fence: Fence of the grant by which the key's owner holds its shard.
@@ -66,6 +68,7 @@
     service: config.Service
     deadline: float
     tried_targets: list[str] = dataclasses.field(default_factory=list)
+    unsent_count: int = 0
     contacted_targets: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     fence: int = 0
@@ -83,6 +86,10 @@
         """Whether only the owner of the call's key may serve it."""
         return self.service.keyed and self.call.key is not None
 
+    def attempt_count(self) -> int:
+        """Returns how often the call may have been sent."""
+        return len(self.tried_targets) - self.unsent_count
+
     def traits(self) -> work.CallTraits:
         """Returns what tells the work of the call before it is sent."""
         return work.CallTraits(
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -176,7 +176,7 @@
             target = await self.waiting_room.select(state)
             if target is None:
                 break
-            if state.tried_targets and not self._retry_budget.spend(service):
+            if state.attempt_count() and not self._retry_budget.spend(service):
                 break
             reply = await self._send_to_target(state, target)
             if reply is not None:
@@ -191,7 +191,7 @@
             return False
         if not state.call.may_be_sent():
             return False
-        return len(state.tried_targets) < max(1, state.route.max_targets)
+        return state.attempt_count() < max(1, state.route.max_targets)
 
     async def _send_to_target(
         self, state: attempts.CallState, target: registry.Target
@@ -310,6 +310,8 @@
         if outcome is upstream.SendOutcome.TARGET_FULL:
             state.latest_code = codes.ResultCode.TARGET_REFUSED
             state.retry_after = UPLOADS_RETRY_SECONDS
+            # The owner of a key isn't left out of further attempts.
+            state.unsent_count += not state.is_keyed
             return None
         if outcome is upstream.SendOutcome.CALLER_FAILED:
             return calls.make_error_reply(state.call.stream.failure)
--- a/tests/node/test_forward.py
+++ b/tests/node/test_forward.py
@@ -227,6 +227,34 @@
     assert not any(target.load.failure_rate for target in targets)
 
 
+@pytest.mark.parametrize(
+    ("script", "status", "spent"),
+    [
+        ([TARGET_FULL] * 3 + [make_answer()], 200, 0),
+        ([TARGET_FULL] * 2 + [NOT_RUN, make_answer()], 200, 1),
+        ([TARGET_FULL] * 2 + [NOT_RUN] * 2, 503, 1),
+    ],
+)
+async def test_full_target_uses_up_no_attempt(harness, script, status, spent):
+    for number in range(5):
+        harness.add_target(f"t{number}")
+    harness.client.script = list(script)
+    budget = harness.forwarder._retry_budget
+    retries = []
+    budget.spend = lambda service: not retries.append(service)
+    assert (await harness.serve("read", body=b"x")).status == status
+    assert len({call.address for call in harness.client.sent}) == len(script)
+    assert len(retries) == spent
+
+
+async def test_full_owner_is_not_tried_without_end(harness):
+    harness.add_target("t1", "desk")
+    harness.set_owner("t1")
+    harness.client.script = [TARGET_FULL] * 2
+    assert (await harness.serve("lookup", key=5)).status == 503
+    assert len(harness.client.sent) == 2
+
+
 class FakeAnswerStream:
     def __init__(self, failure, is_target_at_fault):
         self.length = 1_000_000
