Reset the caller's connection when its answer is given up

What callers saw: calls refused for want of memory though answers had been given up for them. Cause: giving up an answer ended the target's side; the caller's side waited for a caller that reads nothing, with what was in its buffer, until the deadline. Change: the writer tells the stream how to abort the caller's connection. Evidence: test_answer_that_is_given_up_ends_while_its_caller_reads_nothing failed before, passes now; test_answer_stream.py passes (24).

--- a/src/jujubeyard/node/answer_stream.py
+++ b/src/jujubeyard/node/answer_stream.py
@@ -64,6 +64,7 @@
         self._is_ended = False
         self._longest_pause = 0.0
         self._report_end: collections.abc.Callable[[], None] | None = None
+        self._abort_writing: collections.abc.Callable[[], None] | None = None
         self.length = resp.content_length
         self.failure = ""
         self.is_target_at_fault = False
@@ -74,6 +75,12 @@
         """Sets what is called once the answer has been passed on, or failed."""
         self._report_end = report_end
 
+    def on_give_up(
+        self, abort_writing: collections.abc.Callable[[], None]
+    ) -> None:
+        """Sets what is called if the answer is given up while it is written."""
+        self._abort_writing = abort_writing
+
     async def iter_blocks(self) -> collections.abc.AsyncIterator[bytes]:
         """Yields the body.
 
@@ -113,6 +120,14 @@
         raise BrokenOffError(failure)
 
     def close(self) -> None:
+        """Gives up the answer, and ends its writing."""
+        if self._is_ended:
+            return
+        self.end()
+        if self._abort_writing is not None:
+            self._abort_writing()
+
+    def end(self) -> None:
         """Ends the answer, and its connection if it isn't complete."""
         if self._is_ended:
             return
--- a/src/jujubeyard/node/answer_writer.py
+++ b/src/jujubeyard/node/answer_writer.py
@@ -1,6 +1,7 @@
 """Writes answers to callers as they arrive from targets."""
 
 import asyncio
+import functools
 import socket
 
 import aiohttp
@@ -61,6 +62,7 @@
     try:
         if transport is None:
             return resp
+        resp.stream.on_give_up(functools.partial(_reset, transport))
         transport.set_write_buffer_limits(high=answer_stream.BLOCK_BYTES)
         async with asyncio.timeout_at(resp.stream.deadline):
             await resp.prepare(req)
@@ -70,7 +72,7 @@
     except (aiohttp.ClientError, ConnectionError, TimeoutError):
         _reset(transport)
     finally:
-        resp.stream.close()
+        resp.stream.end()
     return resp
 
 
--- a/tests/node/test_answer_stream.py
+++ b/tests/node/test_answer_stream.py
@@ -9,6 +9,7 @@
 from tests.node import test_body_stream
 from tests.node import test_upstream
 from tests.utils import raw_server
+from tests.utils import slow_callers
 
 path = test_body_stream.path
 BODY = bytes(range(256)) * 3000
@@ -109,6 +110,26 @@
     assert path.budget.held_bytes == 0
 
 
+async def test_answer_that_is_given_up_ends_while_its_caller_reads_nothing(
+    path,
+):
+    endless = raw_server.Repeat(BODY)
+    script = [HEAD + b"Content-Length: 7999999\r\n\r\n", endless]
+    async with raw_server.RawServer(script) as server, asyncio.timeout(5.0):
+        path.target_address = server.address
+        host, port = path.address.host, path.address.port
+        with slow_callers.connected(f"{host}:{port}", REQUEST % 1, 1):
+            while not path.budget._peers:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.2)
+            assert path.server.active == 1
+            for peer in list(path.budget._peers):
+                peer.close()
+            await asyncio.sleep(0.1)
+            assert path.server.active == 0
+    assert path.budget.held_bytes == 0
+
+
 class FakeResponse:
     def __init__(self, blocks, error):
         self.headers = {"Content-Length": "100"}
