Give up stalled answers before a call is refused, and others later

What callers saw: answers over 16 KB were reset, one by one, while a quarter of the memory was free; and callers that read nothing kept new calls out. Cause: a response was only written within the share of memory that calls are admitted to; the reserve, which is for answers, stayed unused. Change: responses are given up once the whole budget is full. Before a call is refused, answers of which the caller has taken nothing for 250 ms are given up, the longest first; without this, test_answers_that_callers_do_not_read_share_a_ memory_limit failed with the first change, as the next call was refused. Evidence: tests of both failed before (4 cases), pass now.

--- a/src/jujubeyard/memory.py
+++ b/src/jujubeyard/memory.py
@@ -9,6 +9,9 @@
 STALL_SECONDS = 0.05
 """How long reading stops for want of memory before peers are closed."""
 
+STALLED_PEER_SECONDS = 0.25
+"""How long a peer has taken nothing before it is closed for a new call."""
+
 RESERVED_SHARE = 0.25
 """Share of the memory that new calls leave free, for the answers to those in
 progress."""
@@ -25,6 +28,9 @@
     def held_bytes(self) -> int:
         """Size of what is held for the peer."""
 
+    def stalled_seconds(self) -> float:
+        """Returns how long the peer has taken nothing, in seconds."""
+
     def close(self) -> None:
         """Gives up the peer, and releases what is held for it."""
 
@@ -138,9 +144,13 @@
     def admit(self, held_bytes: int) -> Holding | None:
         """Returns a holding for a new call; None if it must be refused.
 
+        Peers that take nothing of what is held for them are given up before.
+
         Args:
             held_bytes: What the call needs before it is answered.
         """
+        if not self.has_room(held_bytes):
+            self._close_stalled_peers(held_bytes)
         if not self.has_room(held_bytes):
             self._report_refusal()
             return None
@@ -174,6 +184,17 @@
         finally:
             self._waiting.discard(holding)
 
+    def _close_stalled_peers(self, needed_bytes: int) -> None:
+        """Gives up stalled peers, the longest first, until there is room."""
+        stalled = [
+            (seconds, peer)
+            for peer in self._peers
+            if (seconds := peer.stalled_seconds()) >= STALLED_PEER_SECONDS
+        ]
+        stalled.sort(key=lambda item: item[0])
+        while stalled and not self.has_room(needed_bytes):
+            stalled.pop()[1].close()
+
     def _close_largest_peers(self) -> None:
         """Gives up the peers for which most is held, if memory is short."""
         if not self.is_full():
--- a/src/jujubeyard/node/answer_stream.py
+++ b/src/jujubeyard/node/answer_stream.py
@@ -63,6 +63,7 @@
         self._budget = budget
         self._is_ended = False
         self._longest_pause = 0.0
+        self._paused_at: float | None = None
         self._report_end: collections.abc.Callable[[], None] | None = None
         self._abort_writing: collections.abc.Callable[[], None] | None = None
         self.length = resp.content_length
@@ -93,15 +94,23 @@
             sent_bytes += len(block)
             if sent_bytes > self._max_bytes:
                 self._fail(f"body of over {self._max_bytes} bytes")
-            paused_at = time.monotonic()
+            self._paused_at = time.monotonic()
             yield block
-            pause = time.monotonic() - paused_at
-            self._longest_pause = max(self._longest_pause, pause)
+            self._longest_pause = max(
+                self._longest_pause, self.stalled_seconds()
+            )
+            self._paused_at = None
             self.held_bytes = STREAM_BYTES
             block = await self._read()
         if is_cut(self._resp):
             self._fail("connection reset before the end of the body")
 
+    def stalled_seconds(self) -> float:
+        """Returns how long the caller has taken nothing, in seconds."""
+        if self._paused_at is None:
+            return 0.0
+        return time.monotonic() - self._paused_at
+
     async def _read(self) -> bytes:
         try:
             return await self._resp.content.read(BLOCK_BYTES)
--- a/src/jujubeyard/responses.py
+++ b/src/jujubeyard/responses.py
@@ -1,5 +1,6 @@
 """Writes responses to callers, whose unread bodies are limited together."""
 
+import asyncio
 import collections.abc
 import dataclasses
 import socket
@@ -19,6 +20,9 @@
 MIN_RATE_SECONDS = 0.1
 """Shortest time over which the rate of a caller is measured."""
 
+OBSERVING_SECONDS = 0.1
+"""How often is observed whether a caller takes more of its response."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AbandonedResponse:
@@ -51,6 +55,31 @@
         self._req = req
         self._body_bytes = body_bytes
         self._started_at = time.monotonic()
+        self._observed_bytes = 0
+        self._progress_at = self._started_at
+        self._timer = self._schedule()
+
+    def _schedule(self) -> asyncio.TimerHandle:
+        loop = asyncio.get_running_loop()
+        return loop.call_later(OBSERVING_SECONDS, self._observe)
+
+    def _observe(self) -> None:
+        """Notes whether the caller has taken something since the last time."""
+        if self.unread_bytes != self._observed_bytes:
+            self._observed_bytes = self.unread_bytes
+            self._progress_at = time.monotonic()
+        self._timer = self._schedule()
+
+    def end(self) -> None:
+        """Stops observing the caller."""
+        self._timer.cancel()
+
+    def stalled_seconds(self) -> float:
+        """Returns how long the caller has taken nothing, in seconds."""
+        has_progress = self.unread_bytes != self._observed_bytes
+        if has_progress or self.transport.is_closing():
+            return 0.0
+        return time.monotonic() - self._progress_at
 
     @property
     def unread_bytes(self) -> int:
@@ -136,6 +165,7 @@
         except ConnectionError:
             pass  # The server finds the connection closed as well.
         finally:
+            unread.end()
             self._unread.discard(unread)
             self._budget.remove_peer(unread)
         return resp
@@ -143,7 +173,7 @@
     def _make_room(self, body_bytes: int) -> None:
         """Gives up responses until a body fits into the limit."""
         written_bytes = COPIES_WHILE_WRITTEN * body_bytes
-        while self._unread and not self._budget.has_room(written_bytes):
+        while self._unread and self._budget.is_full(written_bytes):
             slowest = min(self._unread, key=_Unread.read_rate)
             self._unread.discard(slowest)
             self._budget.remove_peer(slowest)
