Reset the answers that a shutdown ends

What callers saw: an answer without a length that looked complete though the node had stopped in the middle of it. Cause: the end of the shutdown only reached calls without an answer; answers on their way were closed by the end of the process. Change: at the end, the connections of callers whose answers aren't complete are reset. Evidence: test_answer_that_a_shutdown_ends_does_not_look_complete (2 cases) failed while end_answers() did nothing, passes now; test_answer_stream.py passes (26).

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -295,7 +295,8 @@
 
         Calls are still accepted until the balancer has noticed that the node
         isn't ready, and are refused afterwards. What is in progress at the end
-        of the limit is answered with an unknown outcome.
+        of the limit is answered with an unknown outcome; an answer that has
+        begun is broken off by a reset, so that it doesn't look complete.
         """
         started_at = time.monotonic()
         self._is_shutting_down = True
@@ -318,6 +319,7 @@
         self._server.end_calls()
         self._server.close_idle_connections()
         await self._wait_until_idle(time.monotonic() + LAST_ANSWER_SECONDS)
+        self._server.end_answers()
 
     async def _wait_until_idle(self, deadline: float) -> None:
         while time.monotonic() < deadline and not self._server.is_idle():
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -15,6 +15,7 @@
 from jujubeyard import heads
 from jujubeyard import memory
 from jujubeyard import responses
+from jujubeyard.node import answer_stream
 from jujubeyard.node import answer_writer
 from jujubeyard.node import body_stream
 from jujubeyard.node import calls
@@ -81,6 +82,7 @@
         self._is_shutting_down = False
         self._site: web.TCPSite | None = None
         self._call_limits: set[asyncio.Timeout] = set()
+        self._written_streams: set[answer_stream.AnswerStream] = set()
         self._budget = budget
         self._body_receiver = body_stream.BodyReceiver(MAX_BODY_BYTES, budget)
         self._writer = responses.ResponseWriter(self._log_abandoned, budget)
@@ -131,11 +133,21 @@
         try:
             resp = await self._answer_request(req)
             if isinstance(resp, answer_writer.StreamedResponse):
-                return await answer_writer.write(req, resp)
+                return await self._write_stream(req, resp)
             return await self._writer.write(req, resp)
         finally:
             self.active -= 1
 
+    async def _write_stream(
+        self, req: web.BaseRequest, resp: answer_writer.StreamedResponse
+    ) -> web.StreamResponse:
+        """Writes an answer, unless `end_answers` ends it before."""
+        self._written_streams.add(resp.stream)
+        try:
+            return await answer_writer.write(req, resp)
+        finally:
+            self._written_streams.discard(resp.stream)
+
     async def _answer_request(self, req: web.BaseRequest) -> web.Response:
         early_call = req.protocol.take_early_call(req)
         req.protocol.start_waiting_calls()
@@ -230,6 +242,11 @@
         for limit in self._call_limits:
             limit.reschedule(now)
 
+    def end_answers(self) -> None:
+        """Resets the connections of callers whose answers aren't complete."""
+        for stream in list(self._written_streams):
+            stream.close()
+
     def _log_abandoned(self, abandoned: responses.AbandonedResponse) -> None:
         headers = abandoned.request.headers
         self._log.log_call(
--- a/tests/node/test_answer_stream.py
+++ b/tests/node/test_answer_stream.py
@@ -130,6 +130,23 @@
     assert path.budget.held_bytes == 0
 
 
+@pytest.mark.parametrize("version", [0, 1])
+async def test_answer_that_a_shutdown_ends_does_not_look_complete(
+    path, version
+):
+    script = [WITHOUT_LENGTH, BODY, 5.0]
+    async with raw_server.RawServer(script) as server, asyncio.timeout(3.0):
+        reader, writer, head = await _call(path, server, version)
+        await reader.readexactly(1000)
+        path.server.end_calls()
+        path.server.end_answers()
+        with pytest.raises(ConnectionError):
+            while await reader.read(65536):
+                pass
+    assert path.budget.held_bytes == 0
+    writer.close()
+
+
 class FakeResponse:
     def __init__(self, blocks, error):
         self.headers = {"Content-Length": "100"}
