Test the bound on unread answers with all that is held

Why: the test allowed unread answers of all the budget, and nothing beside them. Change: it runs also with 10 MiB held for others, counts these, and asserts that all that is held stays within the budget, before and after one more answer. The bound on what is unread is as before without others, and lower with them.

--- a/tests/node/test_server.py
+++ b/tests/node/test_server.py
@@ -364,7 +364,11 @@
     assert harness.budget.held_bytes == 0
 
 
-async def test_answers_that_callers_do_not_read_share_a_memory_limit(harness):
+@pytest.mark.parametrize("other_bytes", [0, 10 * bodies.MIB])
+async def test_answers_that_callers_do_not_read_share_a_memory_limit(
+    harness, other_bytes
+):
+    harness.budget.hold(other_bytes)
     body = b"x" * (8 * bodies.MIB)
     harness.reply = calls.Reply(codes.ResultCode.OK, 200, {"X": "1"}, body)
     address = f"{harness.address.host}:{harness.address.port}"
@@ -374,10 +378,12 @@
         unread_bytes = sum(
             conn.transport.get_write_buffer_size() for conn in conns
         )
-        assert 0 < unread_bytes <= MAX_HELD_BYTES
+        assert 0 < unread_bytes <= MAX_HELD_BYTES - other_bytes
+        assert harness.budget.held_bytes <= MAX_HELD_BYTES
         reader, writer = await harness.connect()
         writer.write(REQUEST)
         assert (await _read_answer(reader))[1] == body
+        assert harness.budget.held_bytes <= MAX_HELD_BYTES
     assert "answer given up, caller too slow" in harness.log_output.getvalue()
 
 
