Pace calls by the rank of their priority within the service

A configuration may give priorities such as 20 and 30. Pacing told apart only those up to 16 and treated all above as one: urgent calls were thinned exactly like the others, and shared their credit. It now goes by how many priorities of the service's routes are more urgent, known wherever calls are paced, waiting or not; ranks above 16 count as the same. Metrics and logs still show the configured priority.

--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -17,6 +17,7 @@
 from jujubeyard.routing import config
 from jujubeyard.scheduling import balancing
 from jujubeyard.scheduling import queue_bounds
+from jujubeyard.scheduling import ranks
 from jujubeyard.scheduling import refusals
 from jujubeyard.scheduling import room
 from jujubeyard.scheduling import tracking
@@ -66,6 +67,7 @@
         )
         self._rng = random.Random()
         self._call_bounds = bounds.CallBounds()
+        self._ranks = ranks.PriorityRanks()
         self._room_keeper = room.RoomKeeper(self._rng)
         self.queue_bounds = queue_bounds.QueueBounds()
         self.route_work = loads.RouteWork()
@@ -124,15 +126,29 @@
     def _make_paced_call(self, state: attempts.CallState) -> room.PacedCall:
         """Returns what the admission of a call depends on."""
         service, route = state.service, state.route
+        rank = self._rank(state)
         if state.lacks_room:
             bound = self._call_bounds.current(service.name)
-            return room.PacedCall(service.name, route.urgency, False, bound)
+            return room.PacedCall(service.name, rank, False, bound)
         bound = self._call_bounds.observe(service.name, route.objective)
-        paced = room.PacedCall(service.name, route.urgency, True, bound)
+        paced = room.PacedCall(service.name, rank, True, bound)
         if not state.tried_targets:
             self._room_keeper.observe_call(paced)
         return paced
 
+    def _rank(self, state: attempts.CallState) -> int:
+        """Returns how many priorities of the service go before a call's.
+
+        Unlike `CallState.rank`, it is known where no call waits, too.
+        """
+        if self._view.routes is None:
+            return 0
+        return self._ranks.rank(
+            self._view.routes.configuration,
+            state.service.name,
+            state.route.urgency,
+        )
+
     def _choose_pooled_target(
         self, state: attempts.CallState, paced: room.PacedCall
     ) -> tuple[registry.Target | None, room.Decision]:
@@ -204,7 +220,7 @@
             expected_seconds, state.route.objective
         )
         if paced.is_new:
-            self._metrics.count_lacking_room(paced.service, paced.urgency)
+            self._metrics.count_lacking_room(paced.service, state.route.urgency)
 
     def _decide_on_room(
         self,
@@ -240,13 +256,13 @@
         state.lacks_room = True
         state.retry_after = decision.retry_seconds
         if paced.is_new:
-            self._metrics.count_lacking_room(paced.service, paced.urgency)
+            self._metrics.count_lacking_room(paced.service, state.route.urgency)
             self._log.log_call(
                 "call lacks room",
                 call=state.call.call_id,
                 service=paced.service,
                 target=target_id,
-                urgency=paced.urgency,
+                urgency=state.route.urgency,
                 share=round(decision.share, 3),
                 waiting=round(decision.waiting, 1),
                 limit=round(decision.limit, 1),
@@ -342,7 +358,7 @@
             )
             if not paced.is_new:
                 return False
-            self._metrics.count_lacking_room(service.name, paced.urgency)
+            self._metrics.count_lacking_room(service.name, state.route.urgency)
             if state.may_wait:
                 state.lack = attempts.LackOfRoom(
                     target.listing.target_id,
--- a/src/jujubeyard/scheduling/room.py
+++ b/src/jujubeyard/scheduling/room.py
@@ -37,13 +37,14 @@
 
     Attributes:
         service: Name of its service.
-        urgency: Its priority; 0 is the most urgent.
+        rank: Number of priorities of the service's routes that are more urgent
+            than the call's.
         is_new: Whether it looks for room for the first time.
         bound_seconds: How long calls to the service may take.
     """
 
     service: str
-    urgency: int
+    rank: int
     is_new: bool
     bound_seconds: float
 
@@ -92,7 +93,7 @@
 
     def observe_call(self, call: PacedCall) -> None:
         """Counts a call that looks for room for the first time."""
-        self._mix(call.service).observe(call.urgency)
+        self._mix(call.service).observe(call.rank)
 
     def admit_to_owner(
         self,
@@ -156,10 +157,10 @@
         overall = room.controller.share(now)
         if overall >= 1.0:
             return ADMITTED
-        share = self._mix(call.service).share(call.urgency, overall)
+        share = self._mix(call.service).share(call.rank, overall)
         if room.credits is None:
             room.credits = thinning.Credits(self._rng)
-        credit = room.credits.of(call.urgency, now)
+        credit = room.credits.of(call.rank, now)
         if call.is_new:
             credit.earn(share, now)
         else:
--- a/src/jujubeyard/scheduling/thinning.py
+++ b/src/jujubeyard/scheduling/thinning.py
@@ -24,9 +24,9 @@
 MAX_INTERVAL_SECONDS = 1.0
 """Bounds on the time in which a waiting call earns the share of one call."""
 
-MAX_URGENCIES = 16
-"""Largest number of priorities that are told apart; the others count as the
-least urgent of them."""
+MAX_RANK = 16
+"""Largest rank of a service's priorities that is told apart; less urgent ones
+count as the same."""
 
 
 class UrgencyMix:
@@ -36,25 +36,25 @@
         self._weights: dict[int, float] = {}
         self._total = 0.0
 
-    def observe(self, urgency: int) -> None:
-        """Adds a call; the smaller its urgency, the sooner it is served."""
+    def observe(self, rank: int) -> None:
+        """Adds a call; the smaller its rank, the sooner it is served."""
         for known in self._weights:
             self._weights[known] *= MIX_DECAY
-        rank = min(urgency, MAX_URGENCIES)
+        rank = min(rank, MAX_RANK)
         self._weights[rank] = self._weights.get(rank, 0.0) + 1.0
         self._total = self._total * MIX_DECAY + 1.0
 
-    def share(self, urgency: int, overall: float) -> float:
+    def share(self, rank: int, overall: float) -> float:
         """Returns the share of a priority's calls to admit.
 
         Each priority keeps its minimum; the remainder goes to the most urgent
         first.
 
         Args:
-            urgency: The priority; 0 is the most urgent.
+            rank: Rank of the priority; 0 is the most urgent.
             overall: Share of all calls to admit.
         """
-        rank = min(urgency, MAX_URGENCIES)
+        rank = min(rank, MAX_RANK)
         own = self._weights.get(rank, 0.0)
         if overall >= 1.0 or not own:
             return overall
@@ -145,19 +145,17 @@
                 the first call of a priority.
         """
         self._rng = rng
-        self._by_urgency: dict[int, Credit] = {}
+        self._by_rank: dict[int, Credit] = {}
 
-    def of(self, urgency: int, now: float) -> Credit:
+    def of(self, rank: int, now: float) -> Credit:
         """Returns the credit of a priority.
 
         Args:
-            urgency: The priority.
+            rank: Rank of the priority.
             now: Monotonic time, in seconds.
         """
-        rank = min(urgency, MAX_URGENCIES)
-        credit = self._by_urgency.get(rank)
+        rank = min(rank, MAX_RANK)
+        credit = self._by_rank.get(rank)
         if credit is None:
-            credit = self._by_urgency[rank] = Credit(
-                self._rng.random(), now, now
-            )
+            credit = self._by_rank[rank] = Credit(self._rng.random(), now, now)
         return credit
--- a/tests/node/test_selection.py
+++ b/tests/node/test_selection.py
@@ -1,10 +1,13 @@
 """Tests of the selection of targets for calls without a key."""
 
 import asyncio
+import collections
 
 import pytest
 
 from jujubeyard import codes
+from jujubeyard.node import attempts
+from jujubeyard.node import calls
 from jujubeyard.scheduling import capacity
 from tests.node import test_forward
 from tests.node import test_waiting_room
@@ -30,13 +33,13 @@
     now = asyncio.get_running_loop().time()
     target.load.room.limit.observe_full(12, now)
     keeper = harness.forwarder._selector._room_keeper
-    pool = keeper._pooled["pool"] = capacity.Capacity(waiting_at=now)
+    pool = keeper._pooled["pool"] = capacity.Capacity(waiting_at=now + 60.0)
     harness.client.script = [test_forward.make_answer() for _ in range(3)]
     await harness.serve("read")
     pool.controller.exponent = 1.5
-    pool.controller.reported_at = pool.waiting_at = now
+    pool.controller.reported_at = now
     await harness.serve("read")
-    credit = pool.credits.of(1, now)
+    credit = pool.credits.of(0, now)
     credit.calls = before = 1.5
     share = pool.controller.share(now)
     reply = await harness.serve("read")
@@ -71,3 +74,39 @@
     assert reply.code is code
     waits = test_waiting_room.find_waits(harness)
     assert len(waits) == len(urgencies)
+
+
+def _make_state(harness, name, now):
+    call = calls.Call(
+        "c1", "GET", "a.example", f"/{name}/", (), b"", None, now, 1.0
+    )
+    configuration = harness.view.routes.configuration
+    (route,) = [r for r in configuration.routes if r.name == name]
+    return attempts.CallState(
+        call, route, configuration.services["pool"], now + 1.0
+    )
+
+
+@pytest.mark.parametrize("urgencies", [(0, 1), (20, 30), (10**6, 10**9)])
+async def test_priorities_are_told_apart_however_large_they_are(
+    harness, urgencies
+):
+    names = ("read", "order")
+    test_waiting_room.give_priorities(
+        harness, dict(zip(names, urgencies, strict=True)) | {"short": 0}
+    )
+    target = harness.add_target("t1")
+    now = asyncio.get_running_loop().time()
+    target.load.room.limit.observe_full(12, now)
+    selector = harness.forwarder._selector
+    pool = capacity.Capacity(waiting_at=now + 60.0)
+    selector._room_keeper._pooled["pool"] = pool
+    admitted = collections.Counter()
+    for number in range(200):
+        name = names[number % 2]
+        found = await selector.select(_make_state(harness, name, now))
+        if number < 2:
+            pool.controller.exponent = 1.5
+            pool.controller.reported_at = now
+        admitted[name] += found is not None
+    assert admitted["read"] > 2 * admitted["order"] > 0
