--- a/src/jujubeyard/node/selection.py
+++ b/src/jujubeyard/node/selection.py
@@ -295,6 +295,16 @@
             target.listing.target_id, service.cold_rate, self._view.nodes, now
         )
 
+    def _relative_work(
+        self, state: attempts.CallState, target: registry.Target
+    ) -> float:
+        """Returns the work of a call, relative to the mean of its service."""
+        return self.route_work.relative_work(
+            state.service.name,
+            state.route.name,
+            target.load.service_work.mean(),
+        )
+
     def _latency_bound(
         self,
         state: attempts.CallState,
@@ -335,13 +345,10 @@
             state.latest_code = codes.ResultCode.TARGET_REFUSED
             state.retry_after = attempts.NO_TARGET_RETRY_SECONDS
             return False
-        relative_work = self.route_work.relative_work(
-            service.name, state.route.name, target.load.service_work.mean()
-        )
+        relative_work = self._relative_work(state, target)
         expected_seconds = target.load.expected_seconds(
             target.listing.slots, now, relative_work
         )
-        objective = state.route.objective
         bound = self._latency_bound(state, target, relative_work, paced)
         nodes = self._view.node_count()
         is_full = not admission.has_spare_connection(
@@ -350,40 +357,60 @@
         if is_full or admission.should_refuse(
             expected_seconds, bound, state.remaining_seconds()
         ):
-            state.lacks_room = True
-            state.latest_code = codes.ResultCode.OVERLOADED
-            state.lacks_room = True
-            state.retry_after = admission.retry_after(
-                expected_seconds, objective
+            self._record_overload(
+                state, target, paced, expected_seconds, bound, now
+            )
+            return False
+        return not state.is_keyed or self._owner_has_room(
+            state, target, paced, now
+        )
+
+    def _record_overload(
+        self,
+        state: attempts.CallState,
+        target: registry.Target,
+        paced: room.PacedCall,
+        expected_seconds: float,
+        bound: float,
+        now: float,
+    ) -> None:
+        """Records that a target can't serve a call in time.
+
+        Args:
+            state: The call.
+            target: The target.
+            paced: What the admission of the call depends on.
+            expected_seconds: How long the call would take at the target.
+            bound: How long it may take.
+            now: Monotonic time, in seconds.
+        """
+        service, route = state.service.name, state.route
+        report_age = now - target.load.reported_at
+        state.latest_code = codes.ResultCode.OVERLOADED
+        state.lacks_room = True
+        state.retry_after = admission.retry_after(
+            expected_seconds, route.objective
+        )
+        if paced.is_new:
+            self._metrics.count_lacking_room(service, route.urgency)
+        if state.may_wait:
+            state.lack = attempts.LackOfRoom(
+                target.listing.target_id, expected_seconds, bound, report_age
             )
-            if not paced.is_new:
-                return False
-            self._metrics.count_lacking_room(service.name, state.route.urgency)
-            if state.may_wait:
-                state.lack = attempts.LackOfRoom(
-                    target.listing.target_id,
-                    expected_seconds,
-                    bound,
-                    now - target.load.reported_at,
-                )
-                return False
+        elif paced.is_new:
             self._log.log_call(
                 "call refused, target overloaded",
                 call=state.call.call_id,
-                service=service.name,
+                service=service,
                 target=target.listing.target_id,
                 expected=round(expected_seconds, 3),
-                relative_work=round(relative_work, 3),
+                relative_work=round(self._relative_work(state, target), 3),
                 left=round(state.remaining_seconds(), 3),
-                objective=objective,
+                objective=route.objective,
                 bound=round(bound, 3),
                 report=repr(target.load.report),
-                report_age=round(now - target.load.reported_at, 3),
+                report_age=round(report_age, 3),
             )
-            return False
-        return not state.is_keyed or self._owner_has_room(
-            state, target, paced, now
-        )
 
     def _owner_has_room(
         self,
