Find the kinds of routes where they stand, in the soak's stand-ins

Routes of the soak that may be repeated are now more urgent than the others, so that its calls wait by priority.

--- a/platform_standins/documents.py
+++ b/platform_standins/documents.py
@@ -5,6 +5,7 @@
 import json
 
 from jujubeyard import durations
+from jujubeyard.platform import configurations
 from jujubeyard.platform import documents
 
 HEALTH_PATH = "/health"
@@ -87,7 +88,7 @@
 def _route_fields(route: Route) -> dict:
     kind = next(
         kind
-        for kind, idempotent in documents.IDEMPOTENT_BY_KIND.items()
+        for kind, idempotent in configurations.IDEMPOTENT_BY_KIND.items()
         if idempotent == route.idempotent
     )
     return {
@@ -97,7 +98,7 @@
         "kind": kind,
         "timeout": durations.format_seconds(ROUTE_TIMEOUT_SECONDS),
         "targetLatency": durations.format_seconds(LATENCY_OBJECTIVE_SECONDS),
-        "priority": 1,
+        "priority": 0 if route.idempotent else 1,
         "service": route.service,
         "maxAttempts": 2,
     }
