Give the scripts of the second review all settings fields

Change: the stand-in platform knows all fields that the page of the machines names, and any error of a script ends it with 2.

--- a/review/shared2/world.py
+++ b/review/shared2/world.py
@@ -22,12 +22,25 @@
 TEMPLATE = ROOT / "src/jujubeyard/platform/settings.toml.template"
 FRONT_PORT = 8381
 READY_PORT = 8388
+CONTROL_PORT = 8382
 STORE_PORT = 8384
 UPSTREAM_PORT = 8080
 HEARTBEAT_SECONDS = 0.87
 START_SECONDS = 20.0
 BOUNDS = {
     "ledgerhevea-gw": {
+        "seedLag": "3s",
+        "reuseAfter": "2s",
+        "stableWindow": "3000ms",
+        "ack": "4000ms",
+        "catchUp": "4s",
+        "lossSlack": "200ms",
+        "config": "2000ms",
+        "rollbackSlack": "250ms",
+        "outer": "5000ms",
+        "budgetWindow": "10s",
+        "recover": "15s",
+        "thaw": "300ms",
         "drain": "2000ms",
         "evac": "5000ms",
         "grace": "6s",
@@ -38,6 +51,18 @@
         "coldSlack": "5",
     },
     "kfwc-yard-large": {
+        "seedLag": "3s",
+        "reuseAfter": "2s",
+        "stableWindow": "4000ms",
+        "ack": "5000ms",
+        "catchUp": "6s",
+        "lossSlack": "200ms",
+        "config": "3000ms",
+        "rollbackSlack": "250ms",
+        "outer": "6000ms",
+        "budgetWindow": "10s",
+        "recover": "15s",
+        "thaw": "300ms",
         "drain": "3000ms",
         "evac": "5000ms",
         "grace": "10s",
@@ -197,22 +222,48 @@
         return node
 
     def _fill_template(self, name: str, ip: str, zone: str) -> str:
-        values = {
+        """Fills in the template of the settings, as the platform does."""
+        document = {
             "node": name,
-            "zone": zone,
+            "role": "node",
+            "machineClass": "front",
             "ip": ip,
-            "listen.front": f"{ip}:{FRONT_PORT}",
-            "listen.ready": f"{ip}:{READY_PORT}",
-            "internalPorts.0": "7200",
-            "internalPorts.1": "7201",
-            "platform.address": f"{self.prefix}.1:{STORE_PORT}",
-            "limits.memoryMb": str(MEMORY_MB),
-        }
-        values |= {
-            f"bounds.{name}": text for name, text in self._bounds.items()
+            "zone": zone,
+            "region": "west",
+            "internalPorts": [7200, 7215],
+            "bootstrap": True,
+            "lossCounts": False,
+            "discovery": "platform",
+            "entry": "vip",
+            "heartbeat": f"{int(HEARTBEAT_SECONDS * 1000)}ms",
+            "grants": "call",
+            "listen": {
+                "front": f"{ip}:{FRONT_PORT}",
+                "ready": f"{ip}:{READY_PORT}",
+                "control": f"{ip}:{CONTROL_PORT}",
+            },
+            "limits": {
+                "cpuShare": 0.86,
+                "cores": 1,
+                "memoryMb": MEMORY_MB,
+                "maxFds": 4100,
+                "linkMbps": 1000.0,
+                "diskMb": 0,
+            },
+            "tolerate": {"machines": 2, "zones": 1, "regions": 0},
+            "bounds": self._bounds,
+            "platform": {
+                "address": f"{self.prefix}.1:{STORE_PORT}",
+                "form": "kv",
+                "writesPerS": 400,
+                "readsPerS": 2000,
+                "history": "20s",
+                "valueBytes": 1048576,
+                "ttlMin": "1000ms",
+            },
         }
         return PLACEHOLDER.sub(
-            lambda match: values[match[1]], TEMPLATE.read_text()
+            lambda match: _look_up(document, match[1]), TEMPLATE.read_text()
         )
 
     def run_node(self, node: Node) -> None:
@@ -267,6 +318,25 @@
     """The case couldn't run."""
 
 
+def _look_up(document: dict, path: str) -> str:
+    """Returns the value of a placeholder of the template.
+
+    Args:
+        document: All fields that the platform knows.
+        path: What the placeholder names, such as "limits.memoryMb".
+
+    Raises:
+        CannotRunError: There is no such field.
+    """
+    value = document
+    for part in path.split("."):
+        try:
+            value = value[int(part) if part.isdigit() else part]
+        except (KeyError, IndexError, TypeError) as exc:
+            raise CannotRunError(f"no field {path} for the template") from exc
+    return str(value)
+
+
 async def is_ready(node: Node) -> bool:
     """Asks a node once whether it is ready, as the platform does."""
     try:
@@ -361,7 +431,7 @@
         try:
             async with asyncio.timeout(115.0):
                 holds = await play(deployment, has_trouble)
-        except (CannotRunError, TimeoutError, OSError) as exc:
+        except Exception as exc:
             record.line(f"the case couldn't run: {exc!r}")
             return 2
         finally:
