--- a/review/6/case.py
+++ b/review/6/case.py
@@ -25,7 +25,7 @@
 DOWNLOAD_SECONDS = 0.13
 READ_SECONDS = 0.05
 CLIENTS = 24
-CALM_SECONDS = 3.0
+CALM_SECONDS = 5.0
 NEW_CONNECTIONS_SECONDS = 2.0
 """How long after SIGTERM clients still come: until the node has missed two of
 the questions whether it is ready."""
@@ -194,4 +194,5 @@
 
 
 if __name__ == "__main__":
-    raise SystemExit(world.run(pathlib.Path(__file__).parent, play, SITE))
+    record_path = pathlib.Path(__file__).with_name("record.txt")
+    raise SystemExit(world.run(record_path, play, SITE))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -126,4 +126,5 @@
 
 
 if __name__ == "__main__":
-    raise SystemExit(world.run(pathlib.Path(__file__).parent, play, SITE))
+    record_path = pathlib.Path(__file__).with_name("record.txt")
+    raise SystemExit(world.run(record_path, play, SITE))
--- a/review/shared2/world.py
+++ b/review/shared2/world.py
@@ -402,7 +402,7 @@
 
 
 def run(
-    folder: pathlib.Path,
+    record_path: pathlib.Path,
     play: collections.abc.Callable[
         [World, bool], collections.abc.Coroutine[None, None, bool]
     ],
@@ -411,12 +411,12 @@
     """Plays a case and returns its exit status.
 
     Args:
-        folder: Folder of the case, which gets the record.
+        record_path: Path of the record.
         play: Plays the case; is given the deployment and whether to bring the
             disruption about, and returns whether the rule held.
         site: Site whose bounds hold.
     """
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line(f"disruption: {'yes' if has_trouble else 'no'}")
     status = asyncio.run(_play(record, play, has_trouble, site))
