Log each connection that closes behind an answer

No line of a node said that it had closed their connections, nor what was still on its way then, so that an answer which the node had cut, one that it had given up and one that was lost behind its close looked alike ("call answered", code 100).

The new line has what the node and its kernel still hold, and how many further requests were received.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import errno
+import fcntl
 import socket
 import struct
+import termios
 
 import aiohttp
 from aiohttp import client_proto
@@ -282,6 +284,23 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int | None:
+    """Returns the size of what was sent and isn't acknowledged by the peer yet.
+
+    Args:
+        sock: A connected socket.
+
+    Returns:
+        The size, with the end of what is sent; None if the system doesn't say.
+    """
+    count = struct.pack("i", 0)
+    try:
+        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    except OSError:
+        return None
+    return struct.unpack("i", count)[0]
+
+
 def set_dead_peer_detection(sock: socket.socket) -> None:
     """Makes the kernel close a connection whose peer is silent for seconds."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/src/jujubeyard/node/pipelining.py
+++ b/src/jujubeyard/node/pipelining.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 
 from aiohttp import http
 from aiohttp import http_exceptions
@@ -31,6 +32,27 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionClose:
+    """The end of a connection behind an answer.
+
+    Attributes:
+        request: The request that was answered.
+        unsent_bytes: Size of what the node still holds of its answers.
+        unacknowledged_bytes: Size of what the system still holds of them; None
+            if it doesn't say.
+        waiting_requests: Number of further requests that were received.
+    """
+
+    request: web.BaseRequest
+    unsent_bytes: int
+    unacknowledged_bytes: int | None
+    waiting_requests: int
+
+
+ReportClose = collections.abc.Callable[[ConnectionClose], None]
+
+
 class PipeliningServer(web.Server):
     """Server whose connections begin calls while earlier ones are in progress.
 
@@ -39,17 +61,25 @@
         is_starting_early: Whether further calls are begun early.
     """
 
-    def __init__(self, handler, start_call: StartCall, **options):
+    def __init__(
+        self,
+        handler,
+        start_call: StartCall,
+        report_close: ReportClose,
+        **options,
+    ):
         """Initializes a server.
 
         Args:
             handler: Answers requests, in their order.
             start_call: Returns a coroutine that serves the call in a request,
                 or None if the call must wait for its turn.
+            report_close: Called as a connection closes behind an answer.
             **options: Options of the base class.
         """
         super().__init__(handler, **options)
         self.start_call = start_call
+        self.report_close = report_close
         self.early_count = 0
         self.is_starting_early = True
 
@@ -99,6 +129,34 @@
         for message_id in list(self._early_calls):
             _discard(self._forget(message_id))
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Writes the end of a response."""
+        resp, is_reset = await super().finish_response(
+            request, resp, start_time
+        )
+        if not is_reset and not resp.keep_alive:
+            self._report_close(request)
+        return resp, is_reset
+
+    def _report_close(self, req: web.BaseRequest) -> None:
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        sock = transport.get_extra_info("socket")
+        self._server.report_close(
+            ConnectionClose(
+                req,
+                transport.get_write_buffer_size(),
+                connections.unacknowledged_bytes(sock),
+                len(self._messages),
+            )
+        )
+
     def has_early_calls(self) -> bool:
         """Returns whether answers to early calls are still to be sent."""
         return bool(self._early_calls)
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -89,6 +89,7 @@
         self._server = pipelining.PipeliningServer(
             self._handle_request,
             self._start_early_call,
+            self._log_close,
             access_log=None,
             handler_cancellation=True,
             auto_decompress=False,
@@ -257,6 +258,16 @@
             seconds=round(abandoned.seconds, 3),
         )
 
+    def _log_close(self, close: pipelining.ConnectionClose) -> None:
+        headers = close.request.headers
+        self._log.log_call(
+            "connection closed behind an answer",
+            call=headers.get(self._header_names.call_id, ""),
+            unsent_bytes=close.unsent_bytes,
+            unacknowledged_bytes=close.unacknowledged_bytes,
+            waiting_requests=close.waiting_requests,
+        )
+
     def _log_memory_refusal(self, req: web.BaseRequest) -> None:
         self._log.log_call(
             "call refused, memory is full",
