End connections to callers without losing answers on their way

Cause: the node closed the socket as soon as the kernel had taken the answer. A request that arrived later reached a closed socket, which reset the connection and dropped what wasn't delivered.

Evidence (docs/incidents/2026-12-06-answers-behind-a-close.md): the lines "connection closed behind an answer" of lost answers have unsent_bytes 0, unacknowledged_bytes 29,711 to 46,369 and waiting_requests 0. No answer was given up or broken off, and the process ran on.

Change: an end of a connection goes through node/lingering.py. The node ends its own direction, and closes once the caller has left, 1 s after all was acknowledged, or after 30 s; it exits after that, within the grace. The same holds for refused bodies, malformed requests, idle connections, and answers that a target breaks off, which were reset.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import errno
 import fcntl
 import socket
@@ -284,21 +285,35 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
-def unacknowledged_bytes(sock: socket.socket) -> int | None:
-    """Returns the size of what was sent and isn't acknowledged by the peer yet.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Untaken:
+    """What the peer of a connection hasn't taken of what was sent to it.
 
-    Args:
-        sock: A connected socket.
-
-    Returns:
-        The size, with the end of what is sent; None if the system doesn't say.
+    Attributes:
+        unsent_bytes: Size of what the process still holds.
+        unacknowledged_bytes: Size of what the system still holds; None if it
+            doesn't say.
     """
+
+    unsent_bytes: int
+    unacknowledged_bytes: int | None
+
+
+def untaken(transport: asyncio.Transport) -> Untaken:
+    """Returns what the peer of an open connection hasn't taken yet."""
     count = struct.pack("i", 0)
+    sock = transport.get_extra_info("socket")
     try:
         count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
     except OSError:
-        return None
-    return struct.unpack("i", count)[0]
+        return Untaken(transport.get_write_buffer_size(), None)
+    (unacknowledged_bytes,) = struct.unpack("i", count)
+    return Untaken(transport.get_write_buffer_size(), unacknowledged_bytes)
+
+
+def is_delivered(transport: asyncio.Transport) -> bool:
+    """Returns whether the peer's system is known to have all that was sent."""
+    return untaken(transport) == Untaken(0, 0)
 
 
 def set_dead_peer_detection(sock: socket.socket) -> None:
--- a/src/jujubeyard/node/answer_writer.py
+++ b/src/jujubeyard/node/answer_writer.py
@@ -18,6 +18,7 @@
 
     Attributes:
         stream: The body.
+        is_framed: Whether the caller can tell a body that isn't complete.
     """
 
     def __init__(
@@ -35,11 +36,13 @@
         """
         super().__init__(status=status)
         self.stream = stream
+        self.is_framed = True
         if stream.length is not None:
             self.content_length = stream.length
         elif req.version >= http.HttpVersion11:
             self.enable_chunked_encoding()
         else:
+            self.is_framed = False
             self.force_close()
 
 
@@ -48,8 +51,9 @@
 ) -> web.StreamResponse:
     """Writes a response as fast as its caller takes it.
 
-    If the body isn't complete, the connection is reset, so that it doesn't look
-    complete to the caller.
+    If the body isn't complete, the connection ends behind what was written, as
+    earlier answers may still be on their way. It is reset if the body would
+    look complete to the caller then.
 
     Args:
         req: The request.
@@ -70,7 +74,10 @@
                 await resp.write(block)
             await resp.write_eof()
     except (aiohttp.ClientError, ConnectionError, TimeoutError):
-        _reset(transport)
+        if resp.is_framed:
+            req.protocol.force_close()
+        else:
+            _reset(transport)
     finally:
         resp.stream.end()
     return resp
--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -129,6 +129,14 @@
     os._exit(status.ExitStatus.SUCCESS)
 
 
+async def _wait_until(
+    is_reached: collections.abc.Callable[[], bool], deadline: float
+) -> None:
+    """Waits for a state, but not beyond a deadline on the steady clock."""
+    while time.monotonic() < deadline and not is_reached():
+        await asyncio.sleep(SHUTDOWN_POLL_SECONDS)
+
+
 def _check_settings(path: pathlib.Path, log: journal.Journal) -> None:
     """Validates the settings file on SIGHUP.
 
@@ -297,7 +305,8 @@
         Calls are still accepted until the balancer has noticed that the node
         isn't ready, and are refused afterwards. What is in progress at the end
         of the limit is answered with an unknown outcome; an answer that has
-        begun is broken off by a reset, so that it doesn't look complete.
+        begun is broken off by a reset, so that it doesn't look complete. The
+        node stays until its callers have taken their answers, within the limit.
         """
         started_at = time.monotonic()
         self._is_shutting_down = True
@@ -310,22 +319,18 @@
         )
         await self._leadership.resign()
         stop_by = started_at + self._cfg.limits.shutdown - EXIT_MARGIN_SECONDS
-        await self._wait_until_idle(
-            min(started_at + REFUSE_AFTER_SECONDS, stop_by)
-        )
+        refuse_at = min(started_at + REFUSE_AFTER_SECONDS, stop_by)
+        await _wait_until(self._server.is_idle, refuse_at)
         self._server.is_refusing_calls = True
         self._forwarder.waiting_room.close()
-        await self._wait_until_idle(stop_by)
+        await _wait_until(self._server.is_idle, stop_by)
         await self._server.stop_listening()
         self._server.end_calls()
         self._server.close_idle_connections()
-        await self._wait_until_idle(time.monotonic() + LAST_ANSWER_SECONDS)
+        last_answers_by = max(stop_by, time.monotonic()) + LAST_ANSWER_SECONDS
+        await _wait_until(self._server.is_done, last_answers_by)
         self._server.end_answers()
 
-    async def _wait_until_idle(self, deadline: float) -> None:
-        while time.monotonic() < deadline and not self._server.is_idle():
-            await asyncio.sleep(SHUTDOWN_POLL_SECONDS)
-
     async def _remove_expired(self) -> None:
         """Periodically drops removed targets and expired moved-shard marks."""
         while True:
--- a/src/jujubeyard/node/departures.py
+++ b/src/jujubeyard/node/departures.py
@@ -28,10 +28,15 @@
 
 
 async def _watch(transport: asyncio.Transport) -> None:
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
     while not transport.is_closing():
-        if poll.poll(0):
+        if has_left(transport):
             transport.abort()
             return
         await asyncio.sleep(CHECK_SECONDS)
+
+
+def has_left(transport: asyncio.Transport) -> bool:
+    """Returns whether the peer of an open connection has closed or reset it."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/src/jujubeyard/node/pipelining.py
+++ b/src/jujubeyard/node/pipelining.py
@@ -12,10 +12,10 @@
 from aiohttp import http_exceptions
 from aiohttp import streams
 from aiohttp import web
-from aiohttp import web_protocol
 
 from jujubeyard import connections
 from jujubeyard.node import calls
+from jujubeyard.node import lingering
 
 MAX_EARLY_PER_CONNECTION = 4
 MAX_EARLY_CALLS = 8
@@ -33,24 +33,22 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ConnectionClose:
-    """The end of a connection behind an answer.
+class ConnectionEnd:
+    """The end of a connection behind an answer, as the node wants it.
 
     Attributes:
         request: The request that was answered.
-        unsent_bytes: Size of what the node still holds of its answers.
-        unacknowledged_bytes: Size of what the system still holds of them; None
-            if it doesn't say.
+        untaken: What the caller hasn't taken yet.
         waiting_requests: Number of further requests that were received.
     """
 
     request: web.BaseRequest
-    unsent_bytes: int
-    unacknowledged_bytes: int | None
+    untaken: connections.Untaken
     waiting_requests: int
 
 
-ReportClose = collections.abc.Callable[[ConnectionClose], None]
+ReportEnd = collections.abc.Callable[[ConnectionEnd], None]
+ReportUntaken = collections.abc.Callable[[connections.Untaken], None]
 
 
 class PipeliningServer(web.Server):
@@ -65,7 +63,8 @@
         self,
         handler,
         start_call: StartCall,
-        report_close: ReportClose,
+        report_end: ReportEnd,
+        report_untaken: ReportUntaken,
         **options,
     ):
         """Initializes a server.
@@ -74,12 +73,14 @@
             handler: Answers requests, in their order.
             start_call: Returns a coroutine that serves the call in a request,
                 or None if the call must wait for its turn.
-            report_close: Called as a connection closes behind an answer.
+            report_end: Called as a connection ends that its caller would keep.
+            report_untaken: Called if answers aren't taken in time.
             **options: Options of the base class.
         """
         super().__init__(handler, **options)
         self.start_call = start_call
-        self.report_close = report_close
+        self.report_end = report_end
+        self.report_untaken = report_untaken
         self.early_count = 0
         self.is_starting_early = True
 
@@ -88,7 +89,7 @@
         return Connection(self, loop=self._loop, **self._kwargs)
 
 
-class Connection(web_protocol.RequestHandler):
+class Connection(lingering.LingeringConnection):
     """Connection of a caller."""
 
     __slots__ = ("_early_calls", "_server")
@@ -135,28 +136,30 @@
         resp: web.StreamResponse,
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
-        """Writes the end of a response."""
+        """Writes the end of a response, and of its connection if it is last."""
         resp, is_reset = await super().finish_response(
             request, resp, start_time
         )
         if not is_reset and not resp.keep_alive:
-            self._report_close(request)
+            self._report_end(request)
+            self.force_close()
         return resp, is_reset
 
-    def _report_close(self, req: web.BaseRequest) -> None:
+    def _report_end(self, req: web.BaseRequest) -> None:
+        """Reports the end of a connection that its caller would have kept."""
         transport = self.transport
-        if transport is None or transport.is_closing():
+        if not req.keep_alive or transport is None or transport.is_closing():
             return
-        sock = transport.get_extra_info("socket")
-        self._server.report_close(
-            ConnectionClose(
-                req,
-                transport.get_write_buffer_size(),
-                connections.unacknowledged_bytes(sock),
-                len(self._messages),
+        self._server.report_end(
+            ConnectionEnd(
+                req, connections.untaken(transport), len(self._messages)
             )
         )
 
+    def report_untaken(self, transport: asyncio.Transport) -> None:
+        """Reports that a caller hasn't taken its answers in time."""
+        self._server.report_untaken(connections.untaken(transport))
+
     def has_early_calls(self) -> bool:
         """Returns whether answers to early calls are still to be sent."""
         return bool(self._early_calls)
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -10,6 +10,7 @@
 
 from jujubeyard import bodies
 from jujubeyard import codes
+from jujubeyard import connections
 from jujubeyard import durations
 from jujubeyard import fields
 from jujubeyard import heads
@@ -89,7 +90,8 @@
         self._server = pipelining.PipeliningServer(
             self._handle_request,
             self._start_early_call,
-            self._log_close,
+            self._log_end,
+            self._log_untaken,
             access_log=None,
             handler_cancellation=True,
             auto_decompress=False,
@@ -116,12 +118,20 @@
     def close_idle_connections(self) -> None:
         """Closes the connections on which no call is in progress."""
         for conn in self._runner.server.connections:
-            if _is_idle(conn):
+            if conn.is_idle():
                 conn.force_close()
 
     def is_idle(self) -> bool:
         """Returns whether every call that was read has been answered."""
-        return all(map(_is_idle, self._runner.server.connections))
+        conns = self._runner.server.connections
+        return all(conn.is_idle() or conn.is_ending() for conn in conns)
+
+    def is_done(self) -> bool:
+        """Returns whether all calls are answered, and the answers delivered.
+
+        Answers on connections that are kept count as delivered.
+        """
+        return all(conn.is_idle() for conn in self._runner.server.connections)
 
     def begin_shutdown(self) -> None:
         """Makes each connection close once its calls are answered."""
@@ -258,14 +268,21 @@
             seconds=round(abandoned.seconds, 3),
         )
 
-    def _log_close(self, close: pipelining.ConnectionClose) -> None:
-        headers = close.request.headers
+    def _log_end(self, end: pipelining.ConnectionEnd) -> None:
+        headers = end.request.headers
         self._log.log_call(
             "connection closed behind an answer",
             call=headers.get(self._header_names.call_id, ""),
-            unsent_bytes=close.unsent_bytes,
-            unacknowledged_bytes=close.unacknowledged_bytes,
-            waiting_requests=close.waiting_requests,
+            unsent_bytes=end.untaken.unsent_bytes,
+            unacknowledged_bytes=end.untaken.unacknowledged_bytes,
+            waiting_requests=end.waiting_requests,
+        )
+
+    def _log_untaken(self, untaken: connections.Untaken) -> None:
+        self._log.log_call(
+            "answers not taken in time",
+            unsent_bytes=untaken.unsent_bytes,
+            unacknowledged_bytes=untaken.unacknowledged_bytes,
         )
 
     def _log_memory_refusal(self, req: web.BaseRequest) -> None:
@@ -378,16 +395,6 @@
         return resp
 
 
-def _is_idle(conn: web.RequestHandler) -> bool:
-    """Returns whether a connection waits for its next request.
-
-    A request that was parsed but not yet passed to a handler is only visible
-    in the private state of the connection.
-    """
-    waiter = conn._waiter
-    return waiter is not None and not waiter.done()
-
-
 async def _ask_for_body(req: web.BaseRequest) -> None:
     """Tells a caller that waits for it to send the body of its request."""
     expectation = req.headers.get("Expect", "").lower()
