Log which owner takes a shard first, and when one replies again

The lines of the leader had failed grants only: they could not tell a renewal from the first grant of a shard that had moved, nor whether a health check had made renewals begin again, which is the claim's guess.

Added: "shard taken" (first grant that an owner takes of a shard) and "owner replies again" with its source; "grant failed" has the fence that was sent.

--- a/src/jujubeyard/ownership/holds.py
+++ b/src/jujubeyard/ownership/holds.py
@@ -38,11 +38,14 @@
         until: Latest expiry of all grants that may have been sent.
         renew_at: When the next renewal is due.
         grant_task: The latest grant request; None before the first.
+        taken_since: Fence of the assignment under which its owner took a
+            grant; 0 before that.
     """
 
     until: float
     renew_at: float = 0.0
     grant_task: asyncio.Task | None = None
+    taken_since: int = 0
 
     @property
     def is_sending(self) -> bool:
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -459,22 +459,26 @@
         result = await self._client.grant(request, holds.GRANT_TIMEOUT_SECONDS)
         if self._is_stopped:
             return
-        self._handle_grant_result(shard, result)
+        self._handle_grant_result(shard, request, result)
 
     def _handle_grant_result(
-        self, shard, result: target_requests.Result
+        self,
+        shard: table.Shard,
+        request: target_requests.GrantRequest,
+        result: target_requests.Result,
     ) -> None:
         if result.reply is not None:
             self._cluster_state.observe_reply(shard.owner, result.reply)
         if result.outcome is target_requests.Outcome.DONE:
-            self._liveness.record_reply(shard.owner)
+            self._record_reply(shard.owner, "grant")
+            self._record_taken(shard, request)
             return
         self._client.log_event(
             "grant failed",
             service=self.service,
             first=shard.first,
             owner=shard.owner.target_id,
-            fence=shard.fence,
+            fence=request.fence,
             outcome=result.outcome.value,
             detail=result.detail,
         )
@@ -485,6 +489,36 @@
         elif self._liveness.record_failure(shard.owner, clock.boottime()):
             self._start_task(self._probe(shard.owner))
 
+    def _record_taken(
+        self, shard: table.Shard, request: target_requests.GrantRequest
+    ) -> None:
+        """Logs the first grant that an owner takes since it got a shard."""
+        hold = self._holds.get(shard.first)
+        if hold.taken_since == shard.fence:
+            return
+        hold.taken_since = shard.fence
+        self._client.log_event(
+            "shard taken",
+            service=self.service,
+            first=shard.first,
+            owner=shard.owner.target_id,
+            born=shard.owner.born,
+            fence=request.fence,
+            seconds=request.hold_seconds,
+        )
+
+    def _record_reply(self, owner: table.Owner, source: str) -> None:
+        """Records that an owner replied, to a request of some kind."""
+        if self._liveness.is_unresponsive(owner):
+            self._client.log_event(
+                "owner replies again",
+                service=self.service,
+                owner=owner.target_id,
+                born=owner.born,
+                source=source,
+            )
+        self._liveness.record_reply(owner)
+
     def _start_refence(self, shard: table.Shard) -> None:
         """Assigns a shard to its owner again, with a higher fence."""
         current = self._table.find(shard.first)
@@ -503,7 +537,7 @@
             if result.reply is not None:
                 self._cluster_state.observe_reply(owner, result.reply)
             if result.outcome is target_requests.Outcome.DONE:
-                self._liveness.record_reply(owner)
+                self._record_reply(owner, "health check")
             elif result.outcome is target_requests.Outcome.GONE:
                 self._liveness.record_end(owner)
                 return
