Send each grant with a fence of its own

Cause: the leader took a renewal for a message to the life that has the grant. Whichever process serves the name at the address takes it, and it was the same request with the same fence.

Change: a fence is allocated for each grant that is sent. The table keeps that of the assignment. A leader resigns before the fences of its term run out.

--- a/src/jujubeyard/node/attempts.py
+++ b/src/jujubeyard/node/attempts.py
@@ -47,7 +47,7 @@
             call wasn't sent, as the target had no room for its body.
         contacted_targets: IDs of all targets that the call was sent to.
         may_have_run: Whether a target may have run the call.
-        fence: Fence of the grant by which the key's owner holds its shard.
+        fence: Fence of the assignment of the key's shard to its owner.
         queue_ratio: Value of `TargetLoad.queue_ratio()` for the target of the
             latest attempt, when the call was sent.
         sent: Estimated and observed work of the latest attempt; None before
--- a/src/jujubeyard/ownership/leader.py
+++ b/src/jujubeyard/ownership/leader.py
@@ -16,6 +16,9 @@
 ELECTION_JITTER_SECONDS = 0.15
 RETRY_SECONDS = 0.4
 FENCES_PER_TERM = 1 << 20
+MAX_FENCES_USED = FENCES_PER_TERM - (1 << 16)
+"""Number of fences after which a term ends. The rest is for what is still sent
+until then."""
 
 
 class Journal(typing.Protocol):
@@ -109,6 +112,8 @@
         while True:
             if self.term:
                 await self._renew()
+                if self._next_fence >= MAX_FENCES_USED:
+                    await self.resign()
                 await asyncio.sleep(RENEW_SECONDS)
                 continue
             await self._vacant.wait()
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -438,6 +438,11 @@
         return hold.grant_task
 
     async def _grant(self, shard: table.Shard) -> None:
+        """Sends the owner of a shard a grant, which may renew an earlier one.
+
+        Each grant has a fence of its own, for another incarnation of the owner
+        may take it: it serves the same name at the same address.
+        """
         now = clock.boottime()
         is_current = self._table.find(shard.first) == shard
         if not self._leadership.is_leader() or not is_current:
@@ -452,7 +457,7 @@
             shard.owner,
             shard.first,
             shard.last,
-            shard.fence,
+            self._leadership.allocate_fence(),
             seconds,
             shard.handover,
         )
--- a/src/jujubeyard/ownership/table.py
+++ b/src/jujubeyard/ownership/table.py
@@ -34,7 +34,8 @@
         first: First key of the range.
         last: Last key of the range, inclusive.
         owner: The target incarnation that owns the range.
-        fence: Fencing token of the owner's grant.
+        fence: Fencing token of the assignment to the owner; its grants have
+            higher ones.
         handover: State that the previous owner returned on release, passed
             on to this owner; may be empty.
     """
--- a/tests/ownership/test_leader.py
+++ b/tests/ownership/test_leader.py
@@ -1,5 +1,7 @@
 """Leader election with a lease in the store."""
 
+import asyncio
+
 import pytest
 
 from jujubeyard import clock
@@ -126,3 +128,17 @@
     assert bool(leadership.term) is leads
     assert leadership.renewal_failed is is_down
     assert bool(store.items) is leads
+
+
+async def test_term_ends_before_its_fences_run_out(fake_clock, monkeypatch):
+    """Fences beyond those of a term could reach those of the next."""
+    monkeypatch.setattr(leader, "MAX_FENCES_USED", 3)
+    leadership = _leadership(fakes.FakeStore())
+    await leadership._campaign()
+    running = asyncio.create_task(leadership.run())
+    for is_ended in (False, False, False, True):
+        await asyncio.sleep(0.02)
+        assert bool(leadership.term) is not is_ended
+        leadership.allocate_fence()
+        await asyncio.sleep(leader.RENEW_SECONDS)
+    running.cancel()
--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -155,6 +155,7 @@
         highest_fences: Highest fence received, by shard.
         held_until: Time at which the hold ends, by shard.
         granted_fences: Fences of all accepted grants, in order.
+        fences_by_shard: The same by shard.
     """
 
     def __init__(self, owner: table.Owner):
@@ -165,6 +166,7 @@
         self.highest_fences: dict[int, int] = {}
         self.held_until: dict[int, float] = {}
         self.granted_fences: list[int] = []
+        self.fences_by_shard: dict[int, list[int]] = {}
 
     def holds(self, shard: int, now: float) -> bool:
         return self.held_until.get(shard, 0.0) > now
@@ -177,6 +179,7 @@
         self.highest_fences[grant.first] = grant.fence
         self.held_until[grant.first] = now + grant.hold_seconds
         self.granted_fences.append(grant.fence)
+        self.fences_by_shard.setdefault(grant.first, []).append(grant.fence)
         return target_requests.Reply(200, "", None)
 
     def release(
