Take no answer with a status that HTTP doesn't have

A health check with such a status counted as a sign of life, and one with Jujubeyard-Not-Executed as a promise.

Cause: the client took whatever three digits its parser accepts.

Change: connections.ResponseProtocol fails the call, as for other bytes that are no answer, and closes the connection. All sessions share it: calls, grants, releases, health checks and the store. Interim answers but 101 are skipped as before.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -18,8 +18,13 @@
 from jujubeyard import bodies
 from jujubeyard import heads
 
+MIN_INTERIM_STATUS = 100
+SWITCHING_PROTOCOLS_STATUS = 101
+"""Status that answers a request to change the protocol, which none here is."""
+
 MIN_FINAL_STATUS = 200
 MIN_FAILURE_STATUS = 300
+MAX_FINAL_STATUS = 599
 MAX_MESSAGES_PER_CALL = 16
 """Answers to other calls and interim answers after which the answer of a call
 is not waited for any longer."""
@@ -128,11 +133,16 @@
         not be told from the answer to the next request.
 
         Raises:
-            aiohttp.ClientPayloadError: Too many answers came that are not the
-                one to this call.
+            aiohttp.ClientPayloadError: Something came that is no answer, or too
+                many answers that are not the one to this call.
         """
         while True:
             message, payload = await super().read()
+            if not _may_begin_answer(message.code):
+                self._is_out_of_sync = True
+                raise aiohttp.ClientPayloadError(
+                    f"status {message.code:03} begins no answer"
+                )
             self._payloads.append(payload)
             self._message_count += 1
             if self._message_count > MAX_MESSAGES_PER_CALL:
@@ -203,6 +213,14 @@
         super().connection_lost(exc)
 
 
+def _may_begin_answer(status: int) -> bool:
+    """Returns whether a status is a final one of HTTP, or an interim one."""
+    return (
+        MIN_INTERIM_STATUS <= status <= MAX_FINAL_STATUS
+        and status != SWITCHING_PROTOCOLS_STATUS
+    )
+
+
 async def _discard(payload: aiohttp.StreamReader) -> None:
     """Reads a body to its end; an unread one pauses its connection."""
     async for _ in payload.iter_any():
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -113,6 +113,30 @@
     assert (result.answer.body if result.answer else None) == body
 
 
+@pytest.mark.parametrize("more", [[], ["X-Not-Run: 1"]])
+@pytest.mark.parametrize("status", ["000", "001", "099", "101", "600", "999"])
+async def test_status_that_is_none_of_an_answer_is_no_answer(
+    client, status, more
+):
+    """An answer with the status 000 reached the caller as served."""
+    answer = raw_server.answer("c1", b"ok", *more)
+    script = [answer.replace(b"200 OK", f"{status} Odd".encode()), CLOSE]
+    async with raw_server.RawServer(script) as server:
+        result = await client.send(_make_call(server.address))
+    assert result.outcome is BROKEN, result
+    assert result.answer is None
+
+
+@pytest.mark.parametrize("status", ["100", "102", "103", "199"])
+async def test_answer_behind_an_interim_one_is_taken(client, status):
+    interim = f"HTTP/1.1 {status} Wait\r\nX-Call: c1\r\n\r\n".encode()
+    script = [interim, raw_server.answer("c1")]
+    async with raw_server.RawServer(script) as server:
+        result = await client.send(_make_call(server.address))
+    assert result.outcome is ANSWERED, result
+    assert result.answer.status == 200
+
+
 async def test_silent_target_times_out(client):
     async with raw_server.RawServer([1.0]) as server:
         result = await client.send(_make_call(server.address, seconds=0.1))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -152,3 +152,16 @@
     async with raw_server.RawServer(*script) as server:
         outcome = await make_store(server.address).read_all("op/")
     assert outcome.err_value.kind is interface.FailureKind.TOO_LARGE
+
+
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"101", b"600"])
+async def test_status_that_is_none_of_an_answer_says_nothing_of_a_write(
+    make_store, status
+):
+    """Such an answer to a write must not count as one."""
+    reply = _make_answer(1).replace(b"200", status, 1)
+    async with raw_server.RawServer([reply], [_make_answer(1)]) as server:
+        client = make_store(server.address)
+        outcome = await client.write([], [interface.Put("a", b"x")])
+        assert outcome.err_value.kind is interface.FailureKind.UNKNOWN
+        assert (await client.read_all("op/")).is_ok()
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -101,3 +101,14 @@
         async with asyncio.timeout(1.0):
             await server.repeat_ended.wait()
     assert server.repeated_bytes < 32 * bodies.MIB
+
+
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"101", b"600"])
+@pytest.mark.parametrize("operation", ["grant", "release", "probe"])
+async def test_status_that_is_none_of_an_answer_proves_nothing(
+    client, operation, status
+):
+    """A health check with the status 000 counted as a sign of life."""
+    reply = GRANTED.replace(b"200", status)
+    async with raw_server.RawServer([reply]) as server:
+        assert await _request(client, server.address, operation) is UNKNOWN
