Begin no calls behind an answer that may end its connection

Cause: the node begins calls while earlier ones on their connection are in progress. An answer of over 256 KiB is passed on as it arrives, and its connection ends if it breaks off.

Change: a large answer is streamed only if no call behind it was begun, and none is begun until it is over. Otherwise it is read whole, and tried again elsewhere if it breaks off.

--- a/src/jujubeyard/node/answer_stream.py
+++ b/src/jujubeyard/node/answer_stream.py
@@ -154,6 +154,7 @@
     max_bytes: int,
     budget: memory.MemoryBudget,
     deadline: float,
+    may_stream: collections.abc.Callable[[], bool],
 ) -> bytes | AnswerStream:
     """Returns the body of an answer, or a stream if it is large.
 
@@ -162,6 +163,7 @@
         max_bytes: Largest size of the body.
         budget: Memory for all peers.
         deadline: When the caller stops waiting, on the event loop's clock.
+        may_stream: Returns whether a large body may be returned as a stream.
 
     Raises:
         bodies.BodyTooLargeError: The body is too large.
@@ -179,15 +181,35 @@
     if length <= WHOLE_ANSWER_BYTES:
         start_bytes = WHOLE_ANSWER_BYTES
     with budget.hold() as holding:
-        while len(start) < start_bytes:
-            block = await content.read(start_bytes - len(start))
-            if not block:
-                return bytes(start)
-            start += block
-            await holding.grow(len(block))
-    if content.at_eof():
-        return bytes(start)
-    return AnswerStream(resp, bytes(start), max_bytes, budget, deadline)
+        await _read_up_to(start_bytes, content, start, holding)
+        is_streamed = not content.at_eof() and may_stream()
+        if not is_streamed:
+            await _read_up_to(max_bytes + 1, content, start, holding)
+    if is_streamed:
+        return AnswerStream(resp, bytes(start), max_bytes, budget, deadline)
+    if len(start) > max_bytes:
+        raise bodies.BodyTooLargeError(f"body of over {max_bytes} bytes")
+    return bytes(start)
+
+
+async def _read_up_to(
+    size: int,
+    content: aiohttp.StreamReader,
+    start: bytearray,
+    holding: memory.Holding,
+) -> None:
+    """Reads until the start of a body has a size, or to its end."""
+    while len(start) < size:
+        block = await content.read(size - len(start))
+        if not block:
+            return
+        start += block
+        await holding.grow(len(block))
+
+
+def may_always_stream() -> bool:
+    """Allows that a large answer is passed on as it arrives."""
+    return True
 
 
 def is_cut(resp: connections.Response) -> bool:
--- a/src/jujubeyard/node/calls.py
+++ b/src/jujubeyard/node/calls.py
@@ -36,6 +36,8 @@
         stream: A large body, which is passed on as it arrives; None if the
             body is complete.
         progress: What is known about the call while it is in progress.
+        may_stream_answer: Returns whether a large answer may be passed on as it
+            arrives; asked once it has begun.
     """
 
     call_id: str
@@ -49,6 +51,9 @@
     timeout_seconds: float
     stream: body_stream.BodyStream | None = None
     progress: Progress = dataclasses.field(default_factory=Progress)
+    may_stream_answer: collections.abc.Callable[[], bool] = (
+        answer_stream.may_always_stream
+    )
 
     def limit_body(self, max_body_bytes: int) -> bool:
         """Limits the size of the body, and returns whether it may fit."""
--- a/src/jujubeyard/node/forward.py
+++ b/src/jujubeyard/node/forward.py
@@ -286,6 +286,7 @@
             remaining,
             not state.route.idempotent or is_repeated,
             call.stream,
+            call.may_stream_answer,
         )
 
     def _process_result(
--- a/src/jujubeyard/node/pipelining.py
+++ b/src/jujubeyard/node/pipelining.py
@@ -28,7 +28,7 @@
 EARLY_METHODS = frozenset({"GET", "HEAD"})
 
 StartCall = collections.abc.Callable[
-    [http.RawRequestMessage], collections.abc.Coroutine | None
+    [http.RawRequestMessage, "Connection"], collections.abc.Coroutine | None
 ]
 
 
@@ -92,12 +92,13 @@
 class Connection(lingering.LingeringConnection):
     """Connection of a caller."""
 
-    __slots__ = ("_early_calls", "_server")
+    __slots__ = ("_early_calls", "_server", "_streamed_message")
 
     def __init__(self, server: PipeliningServer, **options):
         super().__init__(server, **options)
         self._server = server
         self._early_calls: dict[int, asyncio.Task[calls.Reply]] = {}
+        self._streamed_message: http.RawRequestMessage | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Limits what is received at once."""
@@ -137,6 +138,8 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Writes the end of a response, and of its connection if it is last."""
+        if request._message is self._streamed_message:
+            self._streamed_message = None
         resp, is_reset = await super().finish_response(
             request, resp, start_time
         )
@@ -176,11 +179,29 @@
         self._server.early_count -= 1
         return self._early_calls.pop(message_id)
 
+    def begin_stream(self, message: http.RawRequestMessage) -> bool:
+        """Returns whether an answer may be passed on as it arrives.
+
+        If its target breaks it off, the connection ends with it. So it is
+        passed on whole if calls behind it were begun, and none is begun behind
+        it otherwise.
+
+        Args:
+            message: The request that is answered.
+        """
+        begun_ids = list(self._early_calls)
+        if begun_ids and begun_ids[-1] != id(message):
+            return False
+        self._streamed_message = message
+        return True
+
     def start_waiting_calls(self) -> None:
         """Begins the calls of waiting requests, up to the first that can't.
 
         A request must be in progress.
         """
+        if self._streamed_message is not None:
+            return
         if not _is_followed(self._current_request._message):
             return
         if not self._current_request.content.is_eof():
@@ -189,7 +210,7 @@
             if id(message) not in self._early_calls:
                 if not self._may_start(message, payload):
                     return
-                coro = self._server.start_call(message)
+                coro = self._server.start_call(message, self)
                 if coro is None:
                     return
                 self._server.early_count += 1
--- a/src/jujubeyard/node/server.py
+++ b/src/jujubeyard/node/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import json
 import time
 
@@ -188,7 +189,7 @@
         return resp
 
     def _start_early_call(
-        self, message: http.RawRequestMessage
+        self, message: http.RawRequestMessage, conn: pipelining.Connection
     ) -> collections.abc.Coroutine[None, None, calls.Reply] | None:
         """Returns the call in a request that has to wait for its turn.
 
@@ -199,7 +200,7 @@
         """
         try:
             timeout_seconds = self._parse_timeout(message.headers)
-            call = self._parse_call(message, timeout_seconds)
+            call = self._parse_call(message, conn, timeout_seconds)
         except ValueError:
             return None
         if not self._may_repeat(call) or self._budget.is_full():
@@ -220,7 +221,11 @@
             )
         try:
             call = self._parse_call(
-                req._message, timeout_seconds, received.body, received.stream
+                req._message,
+                req.protocol,
+                timeout_seconds,
+                received.body,
+                received.stream,
             )
         except ValueError:
             return self._make_response(
@@ -327,6 +332,7 @@
     def _parse_call(
         self,
         message: http.RawRequestMessage,
+        conn: pipelining.Connection,
         timeout_seconds: float,
         body: bytes = b"",
         stream: body_stream.BodyStream | None = None,
@@ -358,6 +364,7 @@
             received_at=time.monotonic(),
             timeout_seconds=timeout_seconds,
             stream=stream,
+            may_stream_answer=functools.partial(conn.begin_stream, message),
         )
 
     def _make_response(
--- a/src/jujubeyard/node/upstream.py
+++ b/src/jujubeyard/node/upstream.py
@@ -104,6 +104,8 @@
             has used before, so that the target can't close the connection as
             idle while the call is on its way.
         stream: The body, if it is passed on as it arrives.
+        may_stream_answer: Returns whether a large answer may be passed on as it
+            arrives; asked once it has begun.
     """
 
     address: str
@@ -115,6 +117,9 @@
     timeout_seconds: float
     on_fresh_connection: bool
     stream: body_stream.BodyStream | None = None
+    may_stream_answer: collections.abc.Callable[[], bool] = (
+        answer_stream.may_always_stream
+    )
 
     def known_bytes(self) -> int:
         """Returns the size of the body, or of its start if it is in chunks."""
@@ -191,7 +196,11 @@
                 resp = await stack.enter_async_context(request)
                 headers = heads.decode_fields(resp.raw_headers)
                 body = await answer_stream.receive(
-                    resp, MAX_ANSWER_BYTES, self._budget, deadline
+                    resp,
+                    MAX_ANSWER_BYTES,
+                    self._budget,
+                    deadline,
+                    call.may_stream_answer,
                 )
                 if isinstance(body, answer_stream.AnswerStream):
                     stack.pop_all()
--- a/tests/node/test_body_stream.py
+++ b/tests/node/test_body_stream.py
@@ -93,6 +93,7 @@
                 call.timeout_seconds,
                 False,
                 call.stream,
+                call.may_stream_answer,
             )
         )
         self.results.append(result.outcome)
