Take no listing that lacks a field as that of a target

Cause: parse_listing let fields be missing that the node can do without: born, coldLeft, and the version and seq, which it never read. The odd entry so counted as a new incarnation that is ready.

Evidence (docs/incidents/2026-12-06-odd-entry-over-a-draining-target.md): at the odd entry "target listed" with draining false and born 0; no call had reached the target before it.

--- a/src/jujubeyard/platform/documents.py
+++ b/src/jujubeyard/platform/documents.py
@@ -45,6 +45,9 @@
 def parse_listing(key: str, body: bytes) -> registry.Listing:
     """Parses a target's listing.
 
+    Targets give all fields; a listing that lacks one is of another writer, also
+    if the field isn't used.
+
     Args:
         key: Store key of the listing, which ends with the target's ID.
         body: The stored document.
@@ -55,9 +58,8 @@
     with fields.reject_malformed(f"target {key[: fields.MAX_DETAIL_LENGTH]}"):
         document = parse_json_object(body)
         info, status = document["info"], document["status"]
-        born = 0
-        if "born" in document:
-            born = fields.check_integer(document["born"], minimum=1)
+        fields.check_text(info["version"])
+        fields.check_integer(status["seq"])
         return registry.Listing(
             target_id=fields.check_name(key.removeprefix(TARGET_PREFIX)),
             service=fields.check_name(info["service"]),
@@ -65,8 +67,8 @@
             zone=fields.check_name(info["zone"]),
             slots=fields.check_integer(info["slots"], 1, MAX_SLOTS),
             draining=DRAINING_BY_STATE[status["state"]],
-            cold_seconds=durations.parse_seconds(status.get("coldLeft", "0s")),
-            born=born,
+            cold_seconds=durations.parse_seconds(status["coldLeft"]),
+            born=fields.check_integer(document["born"], minimum=1),
         )
 
 
--- a/src/jujubeyard/targets/registry.py
+++ b/src/jujubeyard/targets/registry.py
@@ -40,8 +40,7 @@
         slots: Number of calls that it can run at once.
         draining: Whether it is about to shut down.
         cold_seconds: Time for which it stays cold from now on.
-        born: Start of its current incarnation, in Unix milliseconds; 0 if
-            it isn't given.
+        born: Start of its current incarnation, in Unix milliseconds.
     """
 
     target_id: str
--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import time
 
 import cbor2
 import hypothesis
@@ -56,14 +57,21 @@
     ("address",),
     ("info",),
     ("info", "service"),
+    ("info", "version"),
     ("info", "zone"),
     ("info", "slots"),
     ("status",),
     ("status", "state"),
+    ("status", "seq"),
     ("status", "coldLeft"),
     ("born",),
 ]
-VALID_ODD_FIELDS = {("info", "service"), ("info", "zone")}
+VALID_ODD_FIELDS = {
+    ("info", "service"),
+    ("info", "version"),
+    ("info", "zone"),
+    ("status", "seq"),
+}
 ODD_JSON = strategies.recursive(
     strategies.none()
     | strategies.booleans()
@@ -128,14 +136,46 @@
     assert path in VALID_ODD_FIELDS
 
 
-def test_odd_listing_does_not_hide_the_other_listings():
-    log = fakes.RecordingJournal()
-    view = cluster_view.ClusterView(
+def _drop(path):
+    copy = json.loads(json.dumps(test_documents.LISTING))
+    parent = copy
+    for name in path[:-1]:
+        parent = parent[name]
+    del parent[path[-1]]
+    return json.dumps(copy).encode()
+
+
+def _make_view(log):
+    return cluster_view.ClusterView(
         decoder.PREFIXES,
         decoder.decode_item,
         decoder.change_for_malformed_item,
         log,
     )
+
+
+@pytest.mark.parametrize("path", LISTING_PATHS, ids=".".join)
+@pytest.mark.parametrize("is_snapshot", [True, False])
+def test_odd_listing_does_not_take_back_that_a_target_drains(path, is_snapshot):
+    """review/9: an entry without `born` made nodes forget a draining target."""
+    view = _make_view(fakes.RecordingJournal())
+    draining = _replace(test_documents.LISTING, ("status", "state"), "draining")
+    since = None
+    for body in (draining, _drop(path), draining):
+        items = [interface.Item("servers/i-1", body, 1, 1)]
+        if is_snapshot:
+            view.apply_snapshot("servers/", items, 0.0)
+        else:
+            view.apply_changes(items, 0.0)
+        target = view.registry.targets["i-1"]
+        since = since or target.draining_since
+        assert target.draining_since == since
+        assert not view.registry.is_available(target, time.monotonic())
+
+
+def test_odd_listing_does_not_hide_the_other_listings():
+    log = fakes.RecordingJournal()
+    view = _make_view(log)
     sound = json.dumps(test_documents.LISTING).encode()
     items = [
         interface.Item("servers/odd-1", NESTED, 1, 1),
