Ask an owner that closed its connections whether it is cold

Cause: the leader renews grants without a sign that the process is the same.

Change: a process ends with all its connections. The leader counts them per address; if the owner has closed all those for grants, that counts as a failed request, so that a health check comes first. Its answer says how long the target stays cold; a cold one is no candidate and gives up its keys.

--- a/platform_standins/target.py
+++ b/platform_standins/target.py
@@ -219,7 +219,7 @@
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         if req.path == documents.HEALTH_PATH:
-            return self._respond(200, {NAMES.target: self.name})
+            return self._respond_to_health_check()
         if req.headers.get(NAMES.expected_target, self.name) != self.name:
             return self._refuse(req, 421)
         if req.path == "/grant":
@@ -228,6 +228,14 @@
             return await self._handle_release(req)
         return await self._handle_call(req)
 
+    def _respond_to_health_check(self) -> web.Response:
+        headers = {NAMES.target: self.name}
+        cold_seconds = self._cold_until - time.monotonic()
+        if cold_seconds > 0.0:
+            milliseconds = cold_seconds * durations.MILLISECONDS_PER_SECOND
+            headers[NAMES.cold] = str(round(milliseconds))
+        return self._respond(200, headers)
+
     async def _handle_grant(self, req) -> web.Response:
         document = await req.json()
         arrived_at = time.monotonic()
--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -17,6 +17,7 @@
 
 from jujubeyard import bodies
 from jujubeyard import heads
+from jujubeyard import losses
 
 MIN_INTERIM_STATUS = 100
 SWITCHING_PROTOCOLS_STATUS = 101
@@ -77,9 +78,13 @@
             closed.
     """
 
-    def __init__(self, loop, call_id_header: str):
+    def __init__(
+        self, loop, call_id_header: str, loss_tracker: losses.LossTracker
+    ):
         super().__init__(loop)
         self.call_id_header = call_id_header
+        self._loss_tracker = loss_tracker
+        self._peer_address = ""
         self._expected_call_id: str | None = None
         self._is_out_of_sync = False
         self._is_reader_slow = False
@@ -93,6 +98,9 @@
         """Limits what is received at once."""
         transport.max_size = RECEIVE_BUFFER_BYTES
         super().connection_made(transport)
+        host, port = transport.get_extra_info("peername")[:2]
+        self._peer_address = f"{host}:{port}"
+        self._loss_tracker.add(self._peer_address)
 
     def begin_call(self) -> None:
         """Prepares for the next call and its answer."""
@@ -208,9 +216,11 @@
         self._is_answered = True
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Records whether the peer has reset the connection."""
+        """Records whether the peer has closed or reset the connection."""
         self.was_reset |= exc is not None
+        is_closed_by_peer = self.transport is not None
         super().connection_lost(exc)
+        self._loss_tracker.remove(self._peer_address, is_closed_by_peer)
 
 
 def _may_begin_answer(status: int) -> bool:
@@ -247,16 +257,23 @@
 class Connector(aiohttp.TCPConnector):
     """Provides only connections on which no data of earlier calls is left."""
 
-    def __init__(self, call_id_header: str, **options):
+    def __init__(
+        self,
+        call_id_header: str,
+        loss_tracker: losses.LossTracker | None = None,
+        **options,
+    ):
         """Initializes the connector.
 
         Args:
             call_id_header: Header with the ID of a call.
+            loss_tracker: Is told of all connections; None if nobody asks it.
             **options: Options of the base class.
         """
         super().__init__(**options)
         loop = self._loop
-        self._factory = lambda: ResponseProtocol(loop, call_id_header)
+        tracker = loss_tracker or losses.LossTracker()
+        self._factory = lambda: ResponseProtocol(loop, call_id_header, tracker)
 
     async def connect(self, req, traces, timeout):
         """Returns a connection that is safe to use for a request."""
@@ -349,13 +366,16 @@
 
 
 def make_session(
-    call_id_header: str, force_close: bool
+    call_id_header: str,
+    force_close: bool,
+    loss_tracker: losses.LossTracker | None = None,
 ) -> aiohttp.ClientSession:
     """Returns a client session that never retries a request by itself.
 
     Args:
         call_id_header: Header with the ID of a call.
         force_close: Whether each request uses a new connection.
+        loss_tracker: Is told of all connections; None if nobody asks it.
     """
     options = {
         "limit": 0,
@@ -365,7 +385,7 @@
     if not force_close:
         options["keepalive_timeout"] = KEEPALIVE_TIMEOUT_SECONDS
     session = aiohttp.ClientSession(
-        connector=Connector(call_id_header, **options),
+        connector=Connector(call_id_header, loss_tracker, **options),
         request_class=heads.Request,
         response_class=Response,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -12,6 +12,7 @@
 from jujubeyard import connections
 from jujubeyard import context
 from jujubeyard import errors
+from jujubeyard import losses
 from jujubeyard import memory
 from jujubeyard import status
 from jujubeyard.internal import command
@@ -169,8 +170,9 @@
         self._store_session = connections.make_session(
             header_names.call_id, force_close=False
         )
+        loss_tracker = losses.LossTracker()
         self._request_session = connections.make_session(
-            header_names.call_id, force_close=False
+            header_names.call_id, force_close=False, loss_tracker=loss_tracker
         )
         self._release_session = connections.make_session(
             header_names.call_id, force_close=True
@@ -219,6 +221,7 @@
             self._view.table_key,
             self._publish_written_table,
             log,
+            loss_tracker,
         )
         self._table_synchronizer = table_sync.TableSynchronizer(
             self._view,
--- a/src/jujubeyard/node/placement_inputs.py
+++ b/src/jujubeyard/node/placement_inputs.py
@@ -88,6 +88,8 @@
         if target is None:
             return
         target.observe_notice(reply.notice, now)
+        if reply.cold_seconds:
+            target.observe_cold(reply.cold_seconds, now)
         if reply.report is not None:
             target.load.observe_report(reply.report, now)
 
--- a/src/jujubeyard/node/protocol.py
+++ b/src/jujubeyard/node/protocol.py
@@ -23,6 +23,8 @@
         handover: Data that the next owner of released keys needs.
         leaving: Present on all answers of a target that is leaving.
         pause: Seconds for which a target that refuses a call wants no more.
+        cold: Milliseconds for which a target stays cold, in its answers to
+            health checks.
     """
 
     call_id: str
@@ -36,6 +38,7 @@
     handover: str
     leaving: str
     pause: str
+    cold: str
 
     def all(self) -> tuple[str, ...]:
         """Returns all names."""
--- a/src/jujubeyard/ownership/ownership_client.py
+++ b/src/jujubeyard/ownership/ownership_client.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from jujubeyard import errors
+from jujubeyard import losses
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import table
 from jujubeyard.ownership import target_requests
@@ -44,7 +45,12 @@
 
 
 class OwnershipClient:
-    """Access of a shard coordinator to targets, the store and the log."""
+    """Access of a shard coordinator to targets, the store and the log.
+
+    Attributes:
+        lost_addresses: Addresses of targets that have closed all connections
+            for grants. Who has dealt with one removes it.
+    """
 
     def __init__(
         self,
@@ -55,6 +61,7 @@
         table_key: collections.abc.Callable[[str], str],
         publish: collections.abc.Callable[[table.ShardTable], None],
         log: leader.Journal,
+        loss_tracker: losses.LossTracker | None = None,
     ):
         """Initializes a client.
 
@@ -68,7 +75,9 @@
             table_key: Returns the key of a service's table in the store.
             publish: Publishes a stored table to this and all other nodes.
             log: Log of the coordinator's events.
+            loss_tracker: Connections of `session`; None if they aren't known.
         """
+        self.lost_addresses = (loss_tracker or losses.LossTracker()).lost
         self._store = store
         self._session = session
         self._fresh_session = fresh_session
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -164,6 +164,8 @@
         """
         if self._table is None or not self._leadership.is_leader():
             return
+        if self._client.lost_addresses:
+            self._check_lost_owners(now)
         candidates = [
             candidate
             for candidate in self._cluster_state.candidates(self.service)
@@ -176,6 +178,29 @@
         self._write_freed(candidates)
         self._renew(now)
 
+    def _check_lost_owners(self, now: float) -> None:
+        """Checks the owners that have closed all connections for grants.
+
+        Their processes may have ended, and others may serve their names by now.
+        A health check says whether these are cold; no grant is sent before it.
+        """
+        for owner in {shard.owner for shard in self._table.shards}:
+            if owner.address not in self._client.lost_addresses:
+                continue
+            self._client.lost_addresses.discard(owner.address)
+            self._client.log_event(
+                "owner closed its connections",
+                service=self.service,
+                owner=owner.target_id,
+                born=owner.born,
+            )
+            self._note_failure(owner, now)
+
+    def _note_failure(self, owner: table.Owner, now: float) -> None:
+        """Sends an owner no grants until it answers a health check."""
+        if self._liveness.record_failure(owner, now):
+            self._start_task(self._probe(owner))
+
     def _create_table(self, candidates, now: float) -> None:
         is_settled = (
             now - self._cluster_state.joined_at(self.service) > SETTLE_SECONDS
@@ -475,7 +500,7 @@
         if result.reply is not None:
             self._cluster_state.observe_reply(shard.owner, result.reply)
         if result.outcome is target_requests.Outcome.DONE:
-            self._record_reply(shard.owner, "grant")
+            self._record_reply(shard.owner, "grant", result)
             self._record_taken(shard, request)
             return
         self._client.log_event(
@@ -491,8 +516,8 @@
             self._liveness.record_end(shard.owner)
         elif result.outcome is target_requests.Outcome.FENCED:
             self._start_refence(shard)
-        elif self._liveness.record_failure(shard.owner, clock.boottime()):
-            self._start_task(self._probe(shard.owner))
+        else:
+            self._note_failure(shard.owner, clock.boottime())
 
     def _record_taken(
         self, shard: table.Shard, request: target_requests.GrantRequest
@@ -512,8 +537,11 @@
             seconds=request.hold_seconds,
         )
 
-    def _record_reply(self, owner: table.Owner, source: str) -> None:
+    def _record_reply(
+        self, owner: table.Owner, source: str, result: target_requests.Result
+    ) -> None:
         """Records that an owner replied, to a request of some kind."""
+        cold_seconds = result.reply.cold_seconds if result.reply else 0.0
         if self._liveness.is_unresponsive(owner):
             self._client.log_event(
                 "owner replies again",
@@ -521,6 +549,7 @@
                 owner=owner.target_id,
                 born=owner.born,
                 source=source,
+                cold_seconds=cold_seconds,
             )
         self._liveness.record_reply(owner)
 
@@ -542,7 +571,7 @@
             if result.reply is not None:
                 self._cluster_state.observe_reply(owner, result.reply)
             if result.outcome is target_requests.Outcome.DONE:
-                self._record_reply(owner, "health check")
+                self._record_reply(owner, "health check", result)
             elif result.outcome is target_requests.Outcome.GONE:
                 self._liveness.record_end(owner)
                 return
--- a/src/jujubeyard/ownership/target_requests.py
+++ b/src/jujubeyard/ownership/target_requests.py
@@ -63,12 +63,14 @@
         handover: State for the next owner of released keys; may be empty.
         report: The target's load; None if the reply doesn't contain it.
         notice: What the target announces about itself.
+        cold_seconds: How long the target stays cold; 0.0 if it doesn't say so.
     """
 
     status: int
     handover: str
     report: loads.LoadReport | None
     notice: notices.Notice = notices.NO_NOTICE
+    cold_seconds: float = 0.0
 
 
 class Outcome(enum.Enum):
--- a/src/jujubeyard/platform/documents.py
+++ b/src/jujubeyard/platform/documents.py
@@ -80,6 +80,19 @@
     return value
 
 
+def parse_cold_seconds(text: str) -> float:
+    """Parses how long a target stays cold, in seconds; 0.0 if it is malformed.
+
+    Args:
+        text: The header, in milliseconds; empty if there is none.
+    """
+    try:
+        milliseconds = fields.parse_finite(text)
+    except ValueError:
+        return 0.0
+    return max(milliseconds, 0.0) / durations.MILLISECONDS_PER_SECOND
+
+
 def parse_load_report(text: str) -> loads.LoadReport | None:
     """Parses a target's load header; returns None if it is malformed.
 
--- a/src/jujubeyard/platform/headers.py
+++ b/src/jujubeyard/platform/headers.py
@@ -14,6 +14,7 @@
     handover="Jujubeyard-Handover",
     leaving="Server-Leaving",
     pause="Retry-After",
+    cold="Jujubeyard-Cold-Start-Ms",
 )
 
 READINESS_PATH = "/readiness"
--- a/src/jujubeyard/platform/target_client.py
+++ b/src/jujubeyard/platform/target_client.py
@@ -148,6 +148,7 @@
         resp.headers.get(names.handover, ""),
         documents.parse_load_report(load) if load else None,
         notices.read_notice(resp.status, resp.headers, target.target_id, names),
+        documents.parse_cold_seconds(resp.headers.get(names.cold, "")),
     )
 
 
--- a/src/jujubeyard/targets/registry.py
+++ b/src/jujubeyard/targets/registry.py
@@ -86,6 +86,10 @@
         """Returns whether the target is cold."""
         return now < self.cold_until
 
+    def observe_cold(self, seconds: float, now: float) -> None:
+        """Records that the target said how long it stays cold."""
+        self.cold_until = max(self.cold_until, now + seconds)
+
     def observe_notice(self, notice: notices.Notice, now: float) -> bool:
         """Records what the target announces about itself.
 
--- a/tests/node/test_upstream.py
+++ b/tests/node/test_upstream.py
@@ -25,6 +25,7 @@
     target="X-Target",
     handover="X-Handover",
     leaving="X-Leaving",
+    cold="X-Cold",
     pause="Retry-After",
 )
 MAX_HELD_BYTES = 48 * bodies.MIB
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -273,6 +273,42 @@
     harness.assert_all_keys_held()
 
 
+@pytest.mark.parametrize("down_seconds", [0.0, 0.05, 0.5])
+async def test_next_incarnation_that_is_cold_takes_no_renewals(
+    harness, down_seconds
+):
+    """Kin of review/8: it served at full rate before it was known as cold."""
+    harness.add_targets("a", "b")
+    await harness.lead()
+    await harness.run(1.5)
+    target = harness.target_client.targets["a"]
+    target.is_refusing = True
+    target.held_until.clear()
+    harness.coordinator._client.lost_addresses.add(target.owner.address)
+    await harness.run(down_seconds)
+    restarted = harness.restart("a")
+    restarted.cold_seconds = COLD_SECONDS
+    await harness.run(COLD_SECONDS)
+    assert not restarted.granted_fences
+    assert harness.owners() == {"b"}
+    harness.assert_all_keys_held()
+
+
+async def test_owner_that_closed_its_connections_keeps_its_keys(harness):
+    harness.add_targets("a", "b")
+    await harness.lead()
+    await harness.run(1.5)
+    target = harness.target_client.targets["a"]
+    grants = len(target.granted_fences)
+    for _ in range(4):
+        harness.coordinator._client.lost_addresses.add(target.owner.address)
+        await harness.run(1.5)
+        harness.assert_all_keys_held()
+    assert harness.owners() == {"a", "b"}
+    assert len(target.granted_fences) > grants
+    assert not harness.coordinator._client.lost_addresses
+
+
 RESTARTS = [
     pytest.param([0.0], 0.05, 1, id="listed at once"),
     pytest.param([0.0], 1.5, 1, id="listed late"),
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -181,6 +181,22 @@
         documents.parse_listing("servers/i-1", body)
 
 
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        ("2500", 2.5),
+        ("0", 0.0),
+        ("-1", 0.0),
+        ("", 0.0),
+        ("soon", 0.0),
+        ("inf", 0.0),
+        ("nan", 0.0),
+    ],
+)
+def test_parses_how_long_a_target_stays_cold(text, seconds):
+    assert documents.parse_cold_seconds(text) == seconds
+
+
 @pytest.mark.parametrize("body", [b"", b"{", b"[]", b"\xff\xfe", b"null"])
 def test_rejects_body_that_is_not_a_json_object(body):
     with pytest.raises(errors.FormatError):
--- a/tests/targets/test_registry.py
+++ b/tests/targets/test_registry.py
@@ -24,6 +24,14 @@
     return dataclasses.replace(LISTING, **changes)
 
 
+def test_target_is_cold_as_long_as_the_longer_of_what_it_says():
+    target = _make_registry().targets["t1"]
+    target.observe_cold(3.0, 11.0)
+    target.observe_cold(1.0, 12.0)
+    assert target.is_cold(13.9)
+    assert not target.is_cold(14.1)
+
+
 @pytest.mark.parametrize(
     ("change", "is_available"),
     [
--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -156,6 +156,7 @@
         held_until: Time at which the hold ends, by shard.
         granted_fences: Fences of all accepted grants, in order.
         fences_by_shard: The same by shard.
+        cold_seconds: How long it stays cold, as its health checks say.
     """
 
     def __init__(self, owner: table.Owner):
@@ -167,6 +168,7 @@
         self.held_until: dict[int, float] = {}
         self.granted_fences: list[int] = []
         self.fences_by_shard: dict[int, list[int]] = {}
+        self.cold_seconds = 0.0
 
     def holds(self, shard: int, now: float) -> bool:
         return self.held_until.get(shard, 0.0) > now
@@ -225,7 +227,10 @@
         is_elsewhere = target.owner.address != owner.address
         if target.is_unresponsive or target.is_refusing or is_elsewhere:
             return target_requests.Result(target_requests.Outcome.UNKNOWN)
-        return target_requests.Result(target_requests.Outcome.DONE)
+        reply = target_requests.Reply(
+            200, "", None, cold_seconds=target.cold_seconds
+        )
+        return target_requests.Result(target_requests.Outcome.DONE, reply)
 
     def _find_responsive_target(self, request) -> FakeTarget:
         target = self.targets[request.target.target_id]
@@ -274,7 +279,8 @@
         return self.pauses.get(owner.target_id, 0.0)
 
     def observe_reply(self, owner, reply) -> None:
-        pass
+        if reply.cold_seconds:
+            self.available_owners.remove(owner)
 
     def may_balance(self, service: str) -> bool:
         return False
