Run the soak's targets as processes, and judge owners from their records

The soak's targets were objects of one process, which saw each other's grants. Each target is a process of its own now, writes what it takes, gives up and runs to a file, and all files are judged after a run.

tests/soak/test_ownership.py fails on: an owner that is suspended for 7 s and resumed takes the renewals that lay in its sockets.

--- a/platform_standins/keys.py
+++ b/platform_standins/keys.py
@@ -1,12 +1,12 @@
 """Grants and fences of a stand-in target."""
 
-import collections.abc
 import dataclasses
 import time
 import typing
 
 from jujubeyard import durations
 from jujubeyard.ownership import demand
+from platform_standins import records
 
 CLOCK_RATE = 0.98
 """Rate of the slowest clock with which a target may time a grant."""
@@ -28,55 +28,38 @@
     expires_at: float
 
 
-class Observer(typing.Protocol):
-    """Receiver of ownership conflicts."""
+class Recorder(typing.Protocol):
+    """Takes down what a target does."""
 
-    def record_conflict(self, detail: str) -> None:
-        """Records that two targets held a key, or a fence did not increase."""
+    def add(self, event: records.Event) -> None:
+        """Takes down an event."""
 
 
 class HeldKeys:
-    """Keys held by one incarnation of a target.
+    """Keys held by one life of a target.
 
     Keys are tracked in buckets of consecutive keys.
-
-    Attributes:
-        name: Name of the target.
     """
 
-    def __init__(
-        self,
-        name: str,
-        observer: Observer,
-        find_peers: "collections.abc.Callable[[], list[HeldKeys]]",
-    ):
+    def __init__(self, recorder: Recorder):
         """Starts without any held key.
 
         Args:
-            name: Name of the target.
-            observer: Receiver of ownership conflicts.
-            find_peers: Returns the held keys of each other target of the
-                service that is up.
+            recorder: Takes down grants and releases.
         """
-        self.name = name
-        self._observer = observer
-        self._find_peers = find_peers
+        self._recorder = recorder
         self._grants: dict[int, HeldGrant] = {}
         self._highest_fences: dict[int, int] = {}
 
-    def clear(self) -> None:
-        """Drops all grants."""
-        self._grants.clear()
-
     def holds(self, bucket: int) -> bool:
         """Returns whether an unexpired grant covers a bucket."""
         grant = self._grants.get(bucket)
         return grant is not None and grant.expires_at > time.monotonic()
 
-    def fence(self, bucket: int) -> int:
-        """Returns the fence of the latest grant of a bucket, or 0."""
+    def held_until(self, bucket: int) -> float:
+        """Returns when the grant of a bucket expires, in monotonic seconds."""
         grant = self._grants.get(bucket)
-        return grant.fence if grant else 0
+        return grant.expires_at if grant else 0.0
 
     def grant(self, document: dict, arrived_at: float) -> int:
         """Applies or rejects a grant request.
@@ -97,11 +80,15 @@
         ):
             return HTTP_CONFLICT
         seconds = durations.parse_seconds(document["hold_time"]) / CLOCK_RATE
+        until = arrived_at + seconds
         for bucket in buckets:
-            if self._highest_fences.get(bucket) != fence:
-                self._check_fence(bucket, fence)
             self._highest_fences[bucket] = fence
-            self._grants[bucket] = HeldGrant(fence, arrived_at + seconds)
+            self._grants[bucket] = HeldGrant(fence, until)
+        self._recorder.add(
+            records.Granted(
+                time.monotonic(), buckets[0], buckets[-1], fence, until
+            )
+        )
         return HTTP_OK
 
     def release(self, document: dict) -> range:
@@ -115,26 +102,11 @@
             self._highest_fences[bucket] = max(
                 self._highest_fences.get(bucket, 0), fence
             )
+        self._recorder.add(
+            records.Released(time.monotonic(), buckets[0], buckets[-1], fence)
+        )
         return buckets
 
-    def check_sole_owner(self, bucket: int) -> None:
-        """Reports each other target that holds a bucket served by this one."""
-        for peer in self._find_peers():
-            if peer.holds(bucket):
-                self._observer.record_conflict(
-                    f"{self.name} runs a call on key bucket {bucket}, "
-                    f"which is also held by {peer.name} under fence "
-                    f"{peer.fence(bucket)}"
-                )
-
-    def _check_fence(self, bucket: int, fence: int) -> None:
-        for peer in self._find_peers():
-            if peer.fence(bucket) >= fence:
-                self._observer.record_conflict(
-                    f"{self.name} accepted key bucket {bucket} under fence "
-                    f"{fence}, but {peer.name} had fence {peer.fence(bucket)}"
-                )
-
 
 def _buckets(document: dict) -> range:
     """Returns the buckets of the keys in a grant or release request.
--- a/platform_standins/store.py
+++ b/platform_standins/store.py
@@ -134,6 +134,11 @@
         self._removed_revisions[key] = self._revision
         self._record_change(key)
 
+    def value(self, key: str) -> bytes:
+        """Returns the value of an item; empty if there is none."""
+        item = self._items.get(key)
+        return item.value if item else b""
+
     def compact_history(self) -> None:
         """Discards the history, so that older watches fail."""
         self._compacted_revision = self._revision
--- a/platform_standins/target.py
+++ b/platform_standins/target.py
@@ -15,11 +15,10 @@
 from jujubeyard.platform import headers
 from platform_standins import documents
 from platform_standins import keys
-from platform_standins import store
+from platform_standins import records
 
 NAMES = headers.NAMES
 HEARTBEAT_SECONDS = 0.5
-MISSED_HEARTBEATS_UNTIL_REMOVAL = 3
 QUEUE_PER_SLOT = 4
 LATE_GRANT_SECONDS = (1.0, 4.0)
 """Shortest and longest delay of a grant that is applied late."""
@@ -36,59 +35,22 @@
             followed by extra bytes.
         late_share: Fraction of the grants that are applied late and answered
             only after the sender's timeout.
-        store_unreachable: Whether the target cannot reach the store and its
-            listing is no longer updated.
     """
 
     slow_factor: float = 1.0
     lost_share: float = 0.0
     corrupted_share: float = 0.0
     late_share: float = 0.0
-    store_unreachable: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Arrival:
-    """A call that reached a target.
+class Listings(typing.Protocol):
+    """The store, as far as a target writes to it."""
 
-    Attributes:
-        call_id: ID of the call.
-        target: Name of the target.
-        service: Name of the target's service.
-        at: Arrival time in monotonic seconds.
-        was_cold: Whether the target was cold.
-        ran: Whether the target started to process the call.
-    """
-
-    call_id: str
-    target: str
-    service: str
-    at: float
-    was_cold: bool
-    ran: bool
-
-
-class Observer(typing.Protocol):
-    """Receiver of the calls, responses and conflicts at targets."""
-
-    def record_arrival(self, arrival: Arrival) -> None:
-        """Records a call that reached a target, whether or not it ran there."""
-
-    def record_response(self, call_id: str, body: str) -> None:
-        """Records the response body that a target created for a call."""
-
-    def record_conflict(self, detail: str) -> None:
-        """Records that two targets held a key, or a fence did not increase."""
+    def put(self, key: str, value: bytes) -> None:
+        """Writes the listing."""
 
-
-class Fleet(typing.Protocol):
-    """The set of all targets."""
-
-    def peers(self, service: str) -> "list[Target]":
-        """Returns all targets of a service that are up."""
-
-    def find_running(self, name: str) -> "Target | None":
-        """Returns the incarnation of a target that is up, if any."""
+    def remove(self, key: str) -> None:
+        """Removes the listing."""
 
 
 class Target:
@@ -101,7 +63,6 @@
         address: Address to which nodes connect, as "IP:PORT".
         faults: Faults in force.
         keys: Keys that the target holds, with their fences.
-        is_up: Whether the target's process runs.
         is_draining: Whether the target is draining.
     """
 
@@ -111,9 +72,8 @@
         service: documents.Service,
         zone: str,
         address: str,
-        kv_store: store.Store,
-        observer: Observer,
-        fleet: Fleet,
+        listings: Listings,
+        recorder: keys.Recorder,
         rng: random.Random,
         is_cold: bool,
     ):
@@ -122,12 +82,11 @@
         self.zone = zone
         self.address = address
         self.faults = Faults()
-        self.keys = keys.HeldKeys(name, observer, self._find_peers)
-        self.is_up = False
+        self.keys = keys.HeldKeys(recorder)
         self.is_draining = False
-        self._store = kv_store
-        self._observer = observer
-        self._fleet = fleet
+        self._is_listed = True
+        self._listings = listings
+        self._recorder = recorder
         self._rng = rng
         self._started_ms = int(time.time() * durations.MILLISECONDS_PER_SECOND)
         cold_seconds = documents.COLD_SECONDS if is_cold else 0.0
@@ -138,8 +97,8 @@
         self._call_ended = asyncio.Event()
         self._response_numbers = itertools.count(1)
         self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
         self._tasks: set[asyncio.Task] = set()
-        self._heartbeat_at = time.monotonic()
 
     async def start(
         self, host: str, port: int, listing_delay: float = 0.0
@@ -157,18 +116,17 @@
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=0.0)
         await self._runner.setup()
-        await web.TCPSite(self._runner, host, port, reuse_address=True).start()
-        self.is_up = True
+        self._site = web.TCPSite(self._runner, host, port, reuse_address=True)
+        await self._site.start()
+        self._recorder.add(
+            records.Started(time.monotonic(), self.name, self.service.name)
+        )
         self._spawn(self._send_heartbeats(listing_delay))
 
-    async def crash(self) -> None:
-        """Stops at once; the listing expires after missed heartbeats."""
-        self.is_up = False
-        self.keys.clear()
-        for conn in self._runner.server.connections:
-            if conn.transport is not None:
-                conn.transport.abort()
-        await self._runner.cleanup()
+    async def stop_accepting(self) -> None:
+        """Closes the listening socket; open connections are still served."""
+        self._is_listed = False
+        await self._site.stop()
 
     def drain(self) -> None:
         """Publishes that the target is draining."""
@@ -177,8 +135,8 @@
 
     def deregister(self) -> None:
         """Removes the listing from the store, but continues to serve."""
-        self.faults.store_unreachable = True
-        self._store.remove(documents.listing_key(self.name))
+        self._is_listed = False
+        self._listings.remove(documents.listing_key(self.name))
 
     def is_cold(self) -> bool:
         """Returns whether the target is cold."""
@@ -188,23 +146,14 @@
 
     async def _send_heartbeats(self, delay: float) -> None:
         await asyncio.sleep(delay)
-        while self.is_up:
+        while True:
             self._publish_listing()
             await asyncio.sleep(HEARTBEAT_SECONDS)
-        remove_at = (
-            self._heartbeat_at
-            + MISSED_HEARTBEATS_UNTIL_REMOVAL * HEARTBEAT_SECONDS
-        )
-        while time.monotonic() < remove_at or self._store.faults.is_down():
-            await asyncio.sleep(HEARTBEAT_SECONDS / 4)
-        if self._fleet.find_running(self.name) is None:
-            self._store.remove(documents.listing_key(self.name))
 
     def _publish_listing(self) -> None:
-        if self._store.faults.is_down() or self.faults.store_unreachable:
+        if not self._is_listed:
             return
-        self._heartbeat_at = time.monotonic()
-        cold_seconds = max(0.0, self._cold_until - self._heartbeat_at)
+        cold_seconds = max(0.0, self._cold_until - time.monotonic())
         listing = documents.make_listing(
             self.service,
             self.address,
@@ -213,7 +162,7 @@
             self.is_draining,
             documents.COLD_SECONDS if cold_seconds else 0.0,
         )
-        self._store.put(documents.listing_key(self.name), listing)
+        self._listings.put(documents.listing_key(self.name), listing)
 
     # Grant and release requests.
 
@@ -247,8 +196,7 @@
 
     async def _grant_late(self, document: dict, arrived_at: float) -> None:
         await asyncio.sleep(self._rng.uniform(*LATE_GRANT_SECONDS))
-        if self.is_up:
-            self.keys.grant(document, arrived_at)
+        self.keys.grant(document, arrived_at)
 
     async def _handle_release(self, req) -> web.Response:
         document = await req.json()
@@ -271,7 +219,7 @@
         if bucket >= 0 and not self.keys.holds(bucket):
             return self._refuse(req, 421)
         if self._waiting_calls >= QUEUE_PER_SLOT * self.service.slots:
-            self._record_arrival(req, ran=False)
+            self._record_arrival(req, bucket, ran=False)
             return self._refuse(req, 503)
         self._waiting_calls += 1
         try:
@@ -287,37 +235,59 @@
         if bucket >= 0 and not self.keys.holds(bucket):
             return self._refuse(req, 421)
         is_expired = time.monotonic() > deadline
-        self._record_arrival(req, ran=not is_expired)
+        self._record_arrival(req, bucket, ran=not is_expired)
         if is_expired:
             return self._refuse(req, 503)
-        if bucket >= 0:
-            self.keys.check_sole_owner(bucket)
+        mean_seconds = self.service.work_seconds * self.faults.slow_factor
+        work_seconds = mean_seconds * self._rng.uniform(0.5, 1.5)
         self._running_calls[bucket] += 1
         try:
-            mean_seconds = self.service.work_seconds * self.faults.slow_factor
-            await asyncio.sleep(mean_seconds * self._rng.uniform(0.5, 1.5))
+            is_done = await self._work(bucket, work_seconds)
         finally:
             self._running_calls[bucket] -= 1
             self._call_ended.set()
+            call_id = req.headers[NAMES.call_id]
+            self._recorder.add(records.Ended(time.monotonic(), call_id))
+        if not is_done:
+            return self._respond(500, {NAMES.call_id: call_id})
         return await self._respond_to_call(req)
 
-    def _record_arrival(self, req, ran: bool) -> None:
+    async def _work(self, bucket: int, seconds: float) -> bool:
+        """Works on a call; returns whether its key was held all the while.
+
+        A release lets it finish; the end of the grant does not.
+        """
+        end = time.monotonic() + seconds
+        while True:
+            now = time.monotonic()
+            held_until = self.keys.held_until(bucket)
+            if bucket >= 0 and 0.0 < held_until <= now:
+                return False
+            if now >= end:
+                return True
+            wake_at = end
+            if bucket >= 0 and held_until:
+                wake_at = min(end, held_until)
+            await asyncio.sleep(max(0.0, wake_at - now))
+
+    def _record_arrival(self, req, bucket: int, ran: bool) -> None:
         call_id = req.headers[NAMES.call_id]
-        self._observer.record_arrival(
-            Arrival(
+        self._recorder.add(
+            records.Arrival(
                 call_id,
                 self.name,
                 self.service.name,
                 time.monotonic(),
                 self.is_cold(),
                 ran,
+                bucket,
             )
         )
 
     async def _respond_to_call(self, req) -> web.StreamResponse:
         call_id = req.headers[NAMES.call_id]
         body = f"{self.name} {call_id} {next(self._response_numbers)}"
-        self._observer.record_response(call_id, body)
+        self._recorder.add(records.Responded(call_id, body))
         draw = self._rng.random()
         if draw < self.faults.lost_share:
             req.transport.abort()
@@ -359,10 +329,6 @@
             headers={NAMES.load: load, **(extra_headers or {})},
         )
 
-    def _find_peers(self) -> "list[keys.HeldKeys]":
-        peers = self._fleet.peers(self.service.name)
-        return [peer.keys for peer in peers if peer is not self]
-
     def _spawn(self, coro) -> None:
         task = asyncio.create_task(coro)
         self._tasks.add(task)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,7 +14,6 @@
 from soak import observations
 
 HEADER_NAMES = headers.NAMES
-CALLER_COUNT = 24
 MEAN_PAUSE_SECONDS = 0.35
 """Mean pause of a caller between two calls."""
 
@@ -117,7 +116,8 @@
 
     async def run(self) -> None:
         """Sends calls until cancelled."""
-        await asyncio.gather(*(self._run_caller() for _ in range(CALLER_COUNT)))
+        count = self._fleet.shape.caller_count
+        await asyncio.gather(*(self._run_caller() for _ in range(count)))
 
     async def _run_caller(self) -> None:
         connects_per_call = self._rng.random() < NEW_CONNECTION_SHARE
@@ -184,7 +184,7 @@
         ) as resp:
             body = await resp.text()
             call.status = resp.status
-            self._check_response(call, resp, body)
+            self._record_response(call, resp, body)
             return "close" not in resp.headers.get("Connection", "").lower()
 
     def _choose_key(self) -> int:
@@ -192,17 +192,12 @@
             return self._rng.randrange(HOT_KEY_COUNT)
         return self._rng.randrange(KEY_COUNT)
 
-    def _check_response(self, call: observations.Call, resp, body: str) -> None:
-        if resp.status != HTTP_OK:
-            return
-        valid_bodies = self._observed.responses.get(call.call_id, set())
-        is_signed = HEADER_NAMES.signature in resp.headers
-        if body not in valid_bodies or not is_signed:
-            self._observed.add_finding(
-                observations.Rule.MIXED,
-                time.monotonic(),
-                f"{call.call_id} got wrong response {body!r} from {call.node}",
-            )
+    def _record_response(
+        self, call: observations.Call, resp, body: str
+    ) -> None:
+        if resp.status == HTTP_OK:
+            call.body = body
+            call.is_signed = HEADER_NAMES.signature in resp.headers
 
 
 class Prober:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,10 +4,11 @@
 import collections
 
 from platform_standins import documents
-from platform_standins import target
+from platform_standins import records
 from soak import fleet
 from soak import observations
 
+HTTP_OK = 200
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that a call has not run."""
 
@@ -51,6 +52,7 @@
         _check_retry_budget,
         _check_versions_in_force,
         _check_reverted_versions,
+        _check_responses,
     ):
         check(observed)
     return sorted(observed.findings, key=lambda finding: finding.at)
@@ -58,7 +60,7 @@
 
 def _runs_by_call(
     observed: observations.Observations,
-) -> dict[str, list[target.Arrival]]:
+) -> dict[str, list[records.Arrival]]:
     runs = collections.defaultdict(list)
     for arrival in observed.arrivals:
         if arrival.ran:
@@ -91,6 +93,20 @@
             )
 
 
+def _check_responses(observed: observations.Observations) -> None:
+    for call in observed.calls.values():
+        if call.status != HTTP_OK or not call.call_id.startswith("c"):
+            continue
+        valid_bodies = observed.responses.get(call.call_id, set())
+        if call.body not in valid_bodies or not call.is_signed:
+            observed.add_finding(
+                observations.Rule.MIXED,
+                call.ended_at,
+                f"{call.call_id} got wrong response {call.body!r} from "
+                f"{call.node}",
+            )
+
+
 def _check_interrupted_by_stop(observed: observations.Observations) -> None:
     targets_by_call = {
         arrival.call_id: arrival.target for arrival in observed.arrivals
--- a/soak/core.py
+++ b/soak/core.py
@@ -71,6 +71,7 @@
         seconds: float = FAULT_SECONDS,
         only: str | tuple[str, ...] = (),
         directory: str = "",
+        shape: str = "small",
     ) -> status.ExitStatus:
         """Runs a soak for each of several consecutive seeds.
 
@@ -81,6 +82,7 @@
             only: Comma-separated names of faults to inject; all if empty.
             directory: Where to keep settings and logs; a temporary directory
                 if empty.
+            shape: Size of the fleet, by its name in `fleet.SHAPES`.
         """
         base = directory or tempfile.mkdtemp(prefix="soak-")
         fault_names = (only,) if isinstance(only, str) else only
@@ -88,7 +90,7 @@
         for seed in range(first, first + min(count, MAX_SEEDS)):
             seed_directory = pathlib.Path(base) / f"seed-{seed}"
             outcomes.append(
-                run_seed(seed, seed_directory, seconds, fault_names)
+                run_seed(seed, seed_directory, seconds, fault_names, shape)
             )
             _print_outcome(outcomes[-1], env)
         env.stdout.write(f"logs: {base}\n")
@@ -120,6 +122,7 @@
     directory: pathlib.Path,
     seconds: float = FAULT_SECONDS,
     only: tuple[str, ...] = (),
+    shape: str = "small",
 ) -> Outcome:
     """Runs one soak.
 
@@ -128,14 +131,17 @@
         directory: Where to write settings and logs.
         seconds: How long to inject faults.
         only: Names of the faults to inject; all if empty.
+        shape: Size of the fleet, by its name in `fleet.SHAPES`.
     """
     directory.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(_run(seed, directory, seconds, only))
+    return asyncio.run(
+        _run(seed, directory, seconds, only, fleet.SHAPES[shape])
+    )
 
 
-async def _run(seed, directory, seconds, only) -> Outcome:
+async def _run(seed, directory, seconds, only, shape) -> Outcome:
     rng = random.Random(seed)
-    running_fleet = fleet.Fleet(random.Random(rng.random()), directory)
+    running_fleet = fleet.Fleet(random.Random(rng.random()), directory, shape)
     ctx = faults.FaultContext(running_fleet, rng)
     ctx.configure()
     balancer = callers.LoadBalancer(running_fleet, random.Random(rng.random()))
@@ -155,6 +161,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await running_fleet.stop()
+    running_fleet.read_records()
     return _make_outcome(seed, running_fleet.observed, recovery_seconds)
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,7 @@
 from soak import callers
 from soak import fleet
 from soak import observations
+from soak import targets
 
 BROKEN_MODES = [mode for mode in store.Mode if mode is not store.Mode.NORMAL]
 MAX_VERSION_STEP = 3
@@ -26,6 +27,11 @@
 """Number of routes that a grown configuration has more."""
 
 SLOW_LINK_BYTES_PER_SECOND = 500_000
+SLICE_SECONDS = 0.03
+"""Time for which a slow node's process runs at a stretch."""
+
+LEADER_SHARE = 0.5
+"""Share of the faults of single nodes that are aimed at the leader."""
 
 
 class FaultContext:
@@ -73,14 +79,17 @@
         await asyncio.sleep(self.rng.uniform(shortest, longest))
 
     def pick_node(self) -> fleet.Node:
-        """Returns a random node."""
+        """Returns the leader or, with a probability of one half, any node."""
+        leading = self.fleet.leading_node()
+        if leading is not None and self.rng.random() < LEADER_SHARE:
+            return leading
         return self.rng.choice(list(self.fleet.nodes.values()))
 
     def running_nodes(self) -> list[fleet.Node]:
         """Returns the nodes that no other fault is currently restarting."""
         return [n for n in self.fleet.nodes.values() if n.should_run]
 
-    def pick_target(self, service: str = "") -> target.Target | None:
+    def pick_target(self, service: str = "") -> targets.Target | None:
         """Returns a random target that is up and not draining.
 
         Only targets of services with more than two running targets are
@@ -179,6 +188,18 @@
         ctx.fleet.send_signal(node, signal.SIGCONT)
 
 
+async def slow_node(ctx: FaultContext) -> None:
+    """Lets a node's process run for a fifth of the time only."""
+    node = ctx.pick_node()
+    with ctx.record_disruption("slow", node.name):
+        end = time.monotonic() + ctx.rng.uniform(1.0, 6.0)
+        while time.monotonic() < end:
+            ctx.fleet.send_signal(node, signal.SIGSTOP)
+            await asyncio.sleep(4 * SLICE_SECONDS)
+            ctx.fleet.send_signal(node, signal.SIGCONT)
+            await asyncio.sleep(SLICE_SECONDS)
+
+
 async def reload_node(ctx: FaultContext) -> None:
     """Changes a node's settings file and signals the node to reload it."""
     node = ctx.pick_node()
@@ -319,11 +340,22 @@
             target_proxy.reset()
         else:
             target_proxy.pause(cut_mode != "outward", cut_mode != "inward")
-        picked.faults.store_unreachable = ctx.rng.random() < 0.5
+        picked.is_store_unreachable = ctx.rng.random() < 0.5
         await ctx.wait(0.5, 8.0)
         target_proxy.is_refusing = False
         target_proxy.pause(False, False)
-        picked.faults.store_unreachable = False
+        picked.is_store_unreachable = False
+
+
+async def freeze_target(ctx: FaultContext) -> None:
+    """Suspends a target's process and resumes it."""
+    picked = ctx.pick_target()
+    if picked is None:
+        return
+    with ctx.record_disruption("freeze", picked.name):
+        picked.freeze()
+        await ctx.wait(0.3, 8.0)
+        picked.thaw()
 
 
 async def reset_target(ctx: FaultContext) -> None:
@@ -340,10 +372,10 @@
     if picked is None:
         return
     with ctx.record_disruption("slow", picked.name):
-        picked.faults.slow_factor = ctx.rng.uniform(2.0, 8.0)
+        picked.set_faults(slow_factor=ctx.rng.uniform(2.0, 8.0))
         ctx.fleet.target_proxies[picked.name].delay_seconds = 0.02
         await ctx.wait(1.0, 5.0)
-        picked.faults.slow_factor = 1.0
+        picked.set_faults(slow_factor=1.0)
         ctx.fleet.target_proxies[picked.name].delay_seconds = 0.0
 
 
@@ -355,10 +387,10 @@
             stack.enter_context(
                 ctx.record_disruption("corrupted responses", picked.name)
             )
-            picked.faults.lost_share, picked.faults.corrupted_share = 0.05, 0.1
+            picked.set_faults(lost_share=0.05, corrupted_share=0.1)
         await ctx.wait(1.0, 5.0)
         for picked in filter(None, picked_targets):
-            picked.faults.lost_share = picked.faults.corrupted_share = 0.0
+            picked.set_faults(lost_share=0.0, corrupted_share=0.0)
 
 
 async def delay_orders(ctx: FaultContext) -> None:
@@ -369,15 +401,33 @@
             stack.enter_context(
                 ctx.record_disruption("late grants", picked.name)
             )
-            picked.faults.late_share = 0.4
+            picked.set_faults(late_share=0.4)
         await ctx.wait(2.0, 6.0)
         for picked in picked_targets:
-            picked.faults.late_share = 0.0
+            picked.set_faults(late_share=0.0)
 
 
 # Planned work.
 
 
+async def hand_over_address(ctx: FaultContext) -> None:
+    """Starts a target again under its name while its old process still serves.
+
+    The old process keeps the connections that are open, for some seconds.
+    """
+    picked = ctx.pick_target()
+    if picked is None:
+        return
+    with ctx.record_disruption("hand over", picked.name):
+        picked.is_draining = True
+        picked.stop_accepting()
+        await ctx.wait(0.05, 0.3)
+        listing_delay = ctx.rng.uniform(0.0, target.HEARTBEAT_SECONDS)
+        await ctx.fleet.restart_target(picked, listing_delay)
+        await ctx.wait(0.5, 5.0)
+        await picked.crash()
+
+
 async def replace_target(ctx: FaultContext) -> None:
     """Starts a target, then drains or unlists an older one of its service."""
     picked = ctx.pick_target()
@@ -434,7 +484,7 @@
 
     A zone stays evacuated until the last of its evacuations is revoked.
     """
-    zone = ctx.rng.choice(fleet.ZONES)
+    zone = ctx.rng.choice(ctx.fleet.shape.zones)
     key = documents.evacuation_key(zone)
     while ctx.fleet.store.faults.is_down():
         await asyncio.sleep(0.1)
@@ -478,6 +528,7 @@
         kill_all_nodes,
         stop_node,
         freeze_node,
+        slow_node,
         reload_node,
         cut_node_from_store,
         turn_nodes_away,
@@ -487,6 +538,7 @@
         forget_history,
         crash_target,
         cut_target_off,
+        freeze_target,
         reset_target,
         slow_target,
         spoil_answers,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,7 +1,9 @@
 """The node processes and platform stand-ins of a soak, on loopback."""
 
 import asyncio
+import collections
 import dataclasses
+import itertools
 import os
 import pathlib
 import random
@@ -12,20 +14,49 @@
 
 from aiohttp import web
 
+from jujubeyard.ownership import leader
+from jujubeyard.platform import decoder
 from platform_standins import documents
+from platform_standins import records
 from platform_standins import store
-from platform_standins import target
+from platform_standins import target_process
 from soak import observations
+from soak import ownership_checks
 from soak import proxy
+from soak import targets
 
-ZONES = ("a", "b")
 SERVICES = {
     "desk": documents.Service("desk", True, 4, 0.04),
     "pool": documents.Service("pool", False, 4, 0.03),
     "depot": documents.Service("depot", False, 4, 0.03),
 }
-TARGET_COUNTS = {"desk": 5, "pool": 4, "depot": 3}
-NODE_COUNT = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """The size of a fleet.
+
+    Attributes:
+        zones: Its availability zones.
+        node_count: Number of its nodes.
+        target_counts: Number of targets of each service.
+        caller_count: Number of callers.
+    """
+
+    zones: tuple[str, ...]
+    node_count: int
+    target_counts: dict[str, int]
+    caller_count: int
+
+
+SHAPES = {
+    "small": Shape(("a", "b"), 4, {"desk": 5, "pool": 4, "depot": 3}, 24),
+    "ledger": Shape(
+        ("a", "b", "c", "d"), 8, {"desk": 15, "pool": 8, "depot": 8}, 60
+    ),
+}
+"""The second one has the size of the deployment of ledgers."""
+
 CALLER_PORT = 8381
 READINESS_PORT = 8388
 METRICS_PORT = 7200
@@ -112,15 +143,19 @@
     """The nodes, the targets and the store of a soak.
 
     Attributes:
+        shape: Its size.
         nodes: Nodes by name.
-        targets: All targets started so far, in order.
+        targets: All lives of targets started so far, in order.
         target_proxies: The proxy in front of each target, by target name.
         store: The store.
         observed: What callers and targets observe.
         is_stopping: Whether the fleet no longer restarts nodes.
     """
 
-    def __init__(self, rng: random.Random, directory: pathlib.Path):
+    def __init__(
+        self, rng: random.Random, directory: pathlib.Path, shape: Shape
+    ):
+        self.shape = shape
         self._rng = rng
         self._directory = directory
         # Each run gets loopback addresses of its own.
@@ -129,21 +164,28 @@
         self.observed = observations.Observations(time.monotonic())
         self.store = store.Store(rng)
         self.nodes: dict[str, Node] = {}
-        self.targets: list[target.Target] = []
+        self.targets: list[targets.Target] = []
         self.target_proxies: dict[str, proxy.Proxy] = {}
         self.is_stopping = False
         self._runners: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task] = []
         self._last_target_number = 0
+        self._life_numbers = itertools.count(1)
+        self._listings = targets.Listings(self.store)
 
     async def start(self) -> None:
         """Starts the store, the targets and the nodes."""
         self._tasks.append(asyncio.create_task(self.store.run()))
-        for service, count in TARGET_COUNTS.items():
-            for number in range(count):
-                zone = ZONES[number % len(ZONES)]
-                await self.add_target(service, zone, is_cold=False)
-        for number in range(NODE_COUNT):
+        self._tasks.append(asyncio.create_task(self._listings.run()))
+        zones = self.shape.zones
+        await asyncio.gather(
+            *(
+                self.add_target(service, zones[number % len(zones)], False)
+                for service, count in self.shape.target_counts.items()
+                for number in range(count)
+            )
+        )
+        for number in range(self.shape.node_count):
             await self._add_node(number)
         self._tasks.append(asyncio.create_task(self._restart_ended_nodes()))
 
@@ -157,8 +199,7 @@
                 node.process.kill()
                 node.process.wait()
         for member in self.targets:
-            if member.is_up:
-                await member.crash()
+            await member.crash()
         for each_proxy in [
             *self.target_proxies.values(),
             *(n.store_proxy for n in self._nodes()),
@@ -167,7 +208,22 @@
         for runner in self._runners:
             await runner.cleanup()
 
-    def peers(self, service: str) -> list[target.Target]:
+    def read_records(self) -> None:
+        """Takes over what all targets recorded, and checks who held keys."""
+        lives_by_service = collections.defaultdict(list)
+        for number, member in enumerate(self.targets):
+            events = records.read(member.life.record)
+            self.observed.add_events(events)
+            lives_by_service[member.service.name].append(
+                ownership_checks.Life(
+                    member.name, number, member.life.ended_at, events
+                )
+            )
+        for service, lives in lives_by_service.items():
+            if SERVICES[service].keyed:
+                ownership_checks.OwnershipCheck(lives, self.observed).run()
+
+    def peers(self, service: str) -> list[targets.Target]:
         """Returns all targets of a service that are up."""
         return [
             member
@@ -175,19 +231,23 @@
             if member.is_up and member.service.name == service
         ]
 
-    def find_running(self, name: str) -> target.Target | None:
+    def find_running(self, name: str) -> targets.Target | None:
         """Returns the incarnation of a target that is up, if any."""
         return next(
             (t for t in self.targets if t.is_up and t.name == name), None
         )
 
-    def stable_targets(self) -> list[target.Target]:
-        """Returns the targets that are up and not draining."""
-        return [t for t in self.targets if t.is_up and not t.is_draining]
+    def stable_targets(self) -> list[targets.Target]:
+        """Returns the targets that are up, and neither draining nor frozen."""
+        return [
+            t
+            for t in self.targets
+            if t.is_up and not t.is_draining and not t.is_frozen
+        ]
 
     async def add_target(
         self, service: str, zone: str, is_cold: bool = True
-    ) -> target.Target:
+    ) -> targets.Target:
         """Starts a target on its own IP address, behind a proxy.
 
         Args:
@@ -205,8 +265,8 @@
         return await self._start_target(name, service, zone, ip, is_cold)
 
     async def restart_target(
-        self, crashed: target.Target, listing_delay: float
-    ) -> target.Target:
+        self, crashed: targets.Target, listing_delay: float
+    ) -> targets.Target:
         """Starts a target again under its name, at its address.
 
         Args:
@@ -230,20 +290,23 @@
         ip: str,
         is_cold: bool,
         listing_delay: float = 0.0,
-    ) -> target.Target:
-        new_target = target.Target(
+    ) -> targets.Target:
+        record = self._directory / f"{name}-{next(self._life_numbers)}.record"
+        spec = target_process.Spec(
             name,
             SERVICES[service],
             zone,
             f"{ip}:{PUBLIC_TARGET_PORT}",
-            self.store,
-            self.observed,
-            self,
-            self._rng,
+            ip,
+            TARGET_PORT,
+            str(record),
+            self._rng.randrange(1 << 32),
             is_cold,
+            listing_delay,
         )
-        await new_target.start(ip, TARGET_PORT, listing_delay)
+        new_target = targets.Target(spec, self._directory, self._listings)
         self.targets.append(new_target)
+        await new_target.start()
         return new_target
 
     def spawn(self, node: Node, comment: str = "") -> None:
@@ -285,6 +348,13 @@
         path = self._directory / f"{node.name}.toml"
         path.write_text(self._render_settings(node, comment))
 
+    def leading_node(self) -> Node | None:
+        """Returns the node that the store names as the leader, if any."""
+        key = decoder.PREFIXES.fleet + leader.LEADER_KEY
+        address = self.store.value(key).decode()
+        ip = address.partition(":")[0]
+        return next((n for n in self._nodes() if n.ip == ip), None)
+
     def _nodes(self) -> list[Node]:
         return list(self.nodes.values())
 
@@ -312,8 +382,14 @@
         store_proxy = proxy.Proxy((store_proxy_ip, STORE_PORT + 1))
         await store_proxy.start(store_proxy_ip, STORE_PORT)
         ip = f"{self._ip_prefix}.{FIRST_NODE_OCTET + number}"
-        node = Node(name, ZONES[number % len(ZONES)], ip, store_proxy)
+        node = Node(
+            name,
+            self.shape.zones[number % len(self.shape.zones)],
+            ip,
+            store_proxy,
+        )
         self.nodes[name] = node
+        self.observed.node_names.add(name)
         self.spawn(node)
 
     async def _restart_ended_nodes(self) -> None:
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -3,13 +3,15 @@
 import collections.abc
 import dataclasses
 import enum
-import time
 
-from platform_standins import target
+from platform_standins import records
 
 SETTLE_SECONDS = 3.0
 """How long after its end a disruption still excuses violations."""
 
+WAKE_SECONDS = 0.05
+"""How long after a disruption has ended the soak may note that."""
+
 KEPT_VERSION_ROUTES = 2
 """How many of the latest versions have a route of their own."""
 
@@ -68,6 +70,8 @@
         status: HTTP status; 0 if there was no response.
         was_interrupted: Whether its connection broke before the response was
             complete.
+        body: Body of a successful response.
+        is_signed: Whether that was signed by a target.
     """
 
     call_id: str
@@ -79,6 +83,8 @@
     ended_at: float = 0.0
     status: int = 0
     was_interrupted: bool = False
+    body: str = ""
+    is_signed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -138,8 +144,6 @@
 class Observations:
     """All observations of a soak.
 
-    Implements the observer that stand-in targets call.
-
     Attributes:
         started_at: When the soak started, in monotonic seconds.
         calls: Calls of the callers and the prober, by call ID.
@@ -153,11 +157,12 @@
             in monotonic seconds.
         probes: Responses to probes of configuration versions.
         findings: Violations found so far.
+        node_names: Names of the nodes.
     """
 
     started_at: float
     calls: dict[str, Call] = dataclasses.field(default_factory=dict)
-    arrivals: list[target.Arrival] = dataclasses.field(default_factory=list)
+    arrivals: list[records.Arrival] = dataclasses.field(default_factory=list)
     responses: dict[str, set[str]] = dataclasses.field(default_factory=dict)
     disruptions: list[Disruption] = dataclasses.field(default_factory=list)
     drains: list[Removal] = dataclasses.field(default_factory=list)
@@ -166,6 +171,17 @@
     versions: dict[int, float] = dataclasses.field(default_factory=dict)
     probes: list[Probe] = dataclasses.field(default_factory=list)
     findings: list[Finding] = dataclasses.field(default_factory=list)
+    node_names: set[str] = dataclasses.field(default_factory=set)
+
+    def add_events(
+        self, events: collections.abc.Iterable[records.Event]
+    ) -> None:
+        """Adds what a target recorded."""
+        for event in events:
+            if isinstance(event, records.Arrival):
+                self.arrivals.append(event)
+            elif isinstance(event, records.Responded):
+                self.responses.setdefault(event.call_id, set()).add(event.body)
 
     def add_finding(self, rule: Rule, at: float, detail: str) -> None:
         """Adds a finding.
@@ -177,18 +193,6 @@
         """
         self.findings.append(Finding(rule, at - self.started_at, detail))
 
-    def record_arrival(self, arrival: target.Arrival) -> None:
-        """Records a call that reached a target, whether or not it ran there."""
-        self.arrivals.append(arrival)
-
-    def record_response(self, call_id: str, body: str) -> None:
-        """Records the response body that a target created for a call."""
-        self.responses.setdefault(call_id, set()).add(body)
-
-    def record_conflict(self, detail: str) -> None:
-        """Records that two targets held a key, or a fence did not increase."""
-        self.add_finding(Rule.OWNER, time.monotonic(), detail)
-
     def is_undisrupted(
         self,
         scopes: collections.abc.Set[str],
@@ -213,6 +217,29 @@
             for disruption in self.disruptions
         )
 
+    def has_just_ended(
+        self,
+        kinds: collections.abc.Set[str],
+        scopes: collections.abc.Set[str],
+        at: float,
+        seconds: float,
+    ) -> bool:
+        """Returns whether a disruption has ended shortly before a time.
+
+        Args:
+            kinds: Kinds of disruptions to consider.
+            scopes: Names of the nodes and targets to consider.
+            at: The time, in monotonic seconds.
+            seconds: How long before it a disruption may have ended.
+        """
+        return any(
+            disruption.kind in kinds
+            and disruption.scope in scopes
+            and disruption.start <= at
+            and at - seconds <= disruption.end <= at + WAKE_SECONDS
+            for disruption in self.disruptions
+        )
+
     def was_stopping(self, node: str, start: float, end: float) -> bool:
         """Returns whether a planned stop of a node overlaps a period."""
         return any(
