--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -246,6 +246,7 @@
             coordinator_client,
             self._mirrors,
             cfg.limits.max_hold,
+            self._metrics,
         )
         budget = memory.MemoryBudget(
             int(PEERS_MEMORY_SHARE * cfg.limits.memory_bytes),
--- a/src/jujubeyard/node/metrics.py
+++ b/src/jujubeyard/node/metrics.py
@@ -7,6 +7,7 @@
 
 from jujubeyard import codes
 from jujubeyard.internal import labelled_metrics
+from jujubeyard.ownership import evidence
 from jujubeyard.routing import config
 from jujubeyard.scheduling import tracking
 
@@ -119,6 +120,32 @@
             registry=self.registry,
         )
 
+        self._grants = labelled_metrics.LabelledMetric(
+            prometheus_client.Counter(
+                "jujubeyard_grants",
+                "Grants of keys that this node sent, by service and outcome.",
+                ["service", "outcome"],
+                registry=self.registry,
+            )
+        )
+        self._grant_seconds = labelled_metrics.LabelledMetric(
+            prometheus_client.Histogram(
+                "jujubeyard_grant_seconds",
+                "Time from sending a grant to its answer.",
+                ["service"],
+                buckets=LATENCY_BUCKETS_SECONDS,
+                registry=self.registry,
+            )
+        )
+        self._ended_holds = labelled_metrics.LabelledMetric(
+            prometheus_client.Counter(
+                "jujubeyard_ended_holds",
+                "Holds of keys that ended, by service and evidence.",
+                ["service", "evidence"],
+                registry=self.registry,
+            )
+        )
+
         self._held_bytes = prometheus_client.Gauge(
             "jujubeyard_held_bytes",
             "Memory held for callers and targets.",
@@ -224,6 +251,29 @@
             ratio = sent.processing / sent.expected_processing
             self._work_ratio.child(service).observe(ratio)
 
+    def count_grant(
+        self, service: str, outcome: str, answer_seconds: float | None
+    ) -> None:
+        """Counts a grant that has ended.
+
+        Args:
+            service: Name of the service.
+            outcome: Its outcome.
+            answer_seconds: Time until its answer; None if there was none.
+        """
+        self._grants.child(service, outcome).inc()
+        if answer_seconds is not None:
+            self._grant_seconds.child(service).observe(answer_seconds)
+
+    def count_hold_end(self, service: str, proof: evidence.Evidence) -> None:
+        """Counts a hold that has ended.
+
+        Args:
+            service: Name of the service.
+            proof: What proves its end.
+        """
+        self._ended_holds.child(service, proof.value).inc()
+
     def watch_unreadable(
         self,
         count: collections.abc.Callable[
--- a/src/jujubeyard/node/tasks.py
+++ b/src/jujubeyard/node/tasks.py
@@ -10,6 +10,7 @@
 from jujubeyard.node import cluster_view
 from jujubeyard.node import journal
 from jujubeyard.node import placement_inputs
+from jujubeyard.ownership import grant_log
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import ownership_client
 from jujubeyard.ownership import shard_coordinator
@@ -119,12 +120,14 @@
         client: ownership_client.OwnershipClient,
         mirrors: collections.abc.Sequence[mirror.Mirror],
         max_hold_seconds: float,
+        meter: grant_log.Meter,
     ):
         self._leadership = leadership
         self._mirrors = mirrors
         self._view = view
         self._client = client
         self._max_hold_seconds = max_hold_seconds
+        self._meter = meter
         self._inputs = inputs
         self._term = 0
         self._coordinators: dict[str, shard_coordinator.ShardCoordinator] = {}
@@ -175,6 +178,7 @@
                 self._inputs,
                 self._client,
                 self._max_hold_seconds,
+                self._meter,
             )
             coordinator.load(stored)
             self._coordinators[service] = coordinator
--- a/src/jujubeyard/ownership/holds.py
+++ b/src/jujubeyard/ownership/holds.py
@@ -72,7 +72,7 @@
 
     def load(
         self, shards: collections.abc.Sequence[table.Shard], won_at: float
-    ) -> None:
+    ) -> float:
         """Initializes the holds at the start of a term.
 
         Earlier leaders may have sent grants of the maximum length until the
@@ -81,9 +81,13 @@
         Args:
             shards: The shards of the stored table.
             won_at: Start of the term.
+
+        Returns:
+            The latest expiry of the grants of earlier leaders.
         """
         until = latest_expiry(won_at, self._max_seconds)
         self._holds_by_first = {shard.first: Hold(until) for shard in shards}
+        return until
 
     def update_shards(
         self, shards: collections.abc.Sequence[table.Shard]
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -13,6 +13,7 @@
 from jujubeyard import clock
 from jujubeyard.ownership import demand
 from jujubeyard.ownership import evidence
+from jujubeyard.ownership import grant_log
 from jujubeyard.ownership import holds
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import liveness
@@ -74,6 +75,32 @@
     is_pinned: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class ReleaseRecord:
+    """The release of a shard, for the log. Times are boot time.
+
+    Attributes:
+        fence: Fence of the release; 0 until one is allocated.
+        attempts: Number of requests that were sent.
+        sent_at: When the latest request was sent; None if none was.
+        answered_at: When its reply came; None without a reply.
+    """
+
+    fence: int = 0
+    attempts: int = 0
+    sent_at: float | None = None
+    answered_at: float | None = None
+
+    def to_fields(self) -> dict[str, int | float | None]:
+        """Returns the fields of the log line of the shard's release."""
+        return {
+            "release_fence": self.fence,
+            "release_attempts": self.attempts,
+            "release_sent_at": _round_time(self.sent_at),
+            "release_answered_at": _round_time(self.answered_at),
+        }
+
+
 class ClusterState(typing.Protocol):
     """The node's knowledge of targets and their load."""
 
@@ -115,6 +142,7 @@
         cluster_state: ClusterState,
         client: ownership_client.OwnershipClient,
         max_hold_seconds: float,
+        meter: grant_log.Meter,
     ):
         """Initializes a coordinator without a table; see `load`.
 
@@ -124,11 +152,15 @@
             cluster_state: Targets and their load.
             client: Access to targets and to stored tables.
             max_hold_seconds: Longest grant that targets accept.
+            meter: Metrics of grants and holds.
         """
         self.service = service
         self._leadership = leadership
         self._cluster_state = cluster_state
         self._client = client
+        self._term = leadership.term
+        self._meter = meter
+        self._grant_log = grant_log.GrantLog(service, self._term, client, meter)
         self._table: table.ShardTable | None = None
         self._holds = holds.HoldTracker(max_hold_seconds)
         self._liveness = liveness.OwnerLiveness()
@@ -145,6 +177,7 @@
     def stop(self) -> None:
         """Stops at the end of the term; sends no further requests."""
         self._is_stopped = True
+        self._grant_log.close(clock.boottime())
         for task in self._tasks:
             task.cancel()
 
@@ -154,7 +187,18 @@
         `tick` does nothing before this call.
         """
         self._table = stored
-        self._holds.load(stored.shards, self._leadership.won_at)
+        won_at = self._leadership.won_at
+        until = self._holds.load(stored.shards, won_at)
+        self._client.log_event(
+            "term begins for service",
+            service=self.service,
+            term=self._term,
+            won_at=_round_time(won_at),
+            loaded_at=_round_time(clock.boottime()),
+            earlier_holds_until=_round_time(until),
+            revision=stored.revision,
+            shards=len(stored.shards),
+        )
 
     def tick(self, now: float) -> None:
         """Starts the moves, table writes and renewals that are due.
@@ -162,6 +206,7 @@
         Args:
             now: Boot time, in seconds.
         """
+        self._grant_log.flush(now)
         if self._table is None or not self._leadership.is_leader():
             return
         if self._client.lost_addresses:
@@ -291,32 +336,46 @@
     ) -> None:
         """Waits until no target holds a shard, then queues it for its move."""
         hold = self._holds.get(shard.first)
-        proof, handover = await self._release(shard, hold)
+        record = ReleaseRecord()
+        proof, handover = await self._release(shard, hold, record)
         freed_at = clock.boottime()
         self._client.log_event(
             "shard freed",
             service=self.service,
+            term=self._term,
             first=shard.first,
+            last=shard.last,
             owner=shard.owner.target_id,
             born=shard.owner.born,
+            address=shard.owner.address,
             fence=shard.fence,
             to=move.to.target_id,
+            to_born=move.to.born,
             reason=move.reason,
             evidence=proof.value,
+            freed_at=_round_time(freed_at),
+            hold_until=_round_time(hold.until),
             hold_left=round(hold.until - freed_at, 3),
             handover=bool(handover),
             waited=round(freed_at - now, 3),
+            **record.to_fields(),
         )
+        self._meter.count_hold_end(self.service, proof)
         self._freed[shard.first] = FreedShard(move, handover, clock.boottime())
 
     async def _release(
-        self, shard: table.Shard, hold: holds.Hold
+        self, shard: table.Shard, hold: holds.Hold, record: ReleaseRecord
     ) -> tuple[evidence.Evidence, str]:
         """Waits until no target holds a shard.
 
         Retries the release until a reply proves that, or all grants have
         expired.
 
+        Args:
+            shard: The shard.
+            hold: Its hold.
+            record: Is filled for the log.
+
         Returns:
             The proof, and the owner's handover; that is empty if the owner
             didn't confirm the release.
@@ -326,6 +385,7 @@
         request = target_requests.ReleaseRequest(
             shard.owner, shard.first, shard.last, fence
         )
+        record.fence = fence
         while True:
             if self._liveness.has_ended(shard.owner):
                 return evidence.Evidence.OTHER_TARGET, ""
@@ -336,15 +396,28 @@
                 await asyncio.sleep(PROBE_SECONDS)
                 continue
             seconds = max(remaining, MIN_RELEASE_SECONDS)
-            result = await self._client.release(request, seconds)
+            result = await self._send_release(request, seconds, record)
             proof = evidence.judge_release(result)
             if proof is evidence.Evidence.RELEASED:
                 return proof, result.reply.handover
             if proof is evidence.Evidence.OTHER_TARGET:
-                self._liveness.record_end(shard.owner)
+                self._record_end(shard.owner, "release", result)
                 continue
             await asyncio.sleep(min(PROBE_SECONDS, max(remaining, 0.01)))
 
+    async def _send_release(
+        self,
+        request: target_requests.ReleaseRequest,
+        seconds: float,
+        record: ReleaseRecord,
+    ) -> target_requests.Result:
+        record.attempts += 1
+        record.sent_at, record.answered_at = clock.boottime(), None
+        result = await self._client.release(request, seconds)
+        if result.reply is not None:
+            record.answered_at = clock.boottime()
+        return result
+
     def _write_freed(self, candidates) -> None:
         """Starts to write the new owners of the freed shards to the table."""
         if not self._freed or not candidates or not self._may_write():
@@ -413,12 +486,27 @@
                 self._freed.setdefault(first, freed_shard)
             return
         for first, freed_shard in freed.items():
+            self._log_replaced_owner(first, freed_shard.move)
             if not freed_shard.is_pinned:
                 self._holds.clear(first)
             self._destinations.pop(first, None)
         await self._grant_freed(freed)
         self._client.publish(result.stored)
 
+    def _log_replaced_owner(self, first: int, move: planner.Move) -> None:
+        """Logs if a freed shard went to another owner than was planned."""
+        owner = self._table.find(first).owner
+        if owner != move.to:
+            self._client.log_event(
+                "next owner replaced",
+                service=self.service,
+                term=self._term,
+                first=first,
+                planned=move.to.target_id,
+                to=owner.target_id,
+                to_born=owner.born,
+            )
+
     async def _grant_freed(self, freed: collections.abc.Iterable[int]) -> None:
         """Sends the grants of reassigned shards and waits for the replies."""
         grant_tasks = []
@@ -486,11 +574,28 @@
             seconds,
             shard.handover,
         )
-        result = await self._client.grant(request, holds.GRANT_TIMEOUT_SECONDS)
+        result = await self._send_grant(request, now)
         if self._is_stopped:
             return
         self._handle_grant_result(shard, request, result)
 
+    async def _send_grant(
+        self, request: target_requests.GrantRequest, now: float
+    ) -> target_requests.Result:
+        self._grant_log.start(request, now)
+        outcome, is_answered = grant_log.FAILED, False
+        try:
+            result = await self._client.grant(
+                request, holds.GRANT_TIMEOUT_SECONDS
+            )
+            outcome = result.outcome.value
+            is_answered = result.reply is not None
+        finally:
+            self._grant_log.end(
+                request.fence, outcome, clock.boottime(), is_answered
+            )
+        return result
+
     def _handle_grant_result(
         self,
         shard: table.Shard,
@@ -513,7 +618,7 @@
             detail=result.detail,
         )
         if result.outcome is target_requests.Outcome.GONE:
-            self._liveness.record_end(shard.owner)
+            self._record_end(shard.owner, "grant", result)
         elif result.outcome is target_requests.Outcome.FENCED:
             self._start_refence(shard)
         else:
@@ -537,6 +642,24 @@
             seconds=request.hold_seconds,
         )
 
+    def _record_end(
+        self, owner: table.Owner, source: str, result: target_requests.Result
+    ) -> None:
+        """Records that another process replied at an owner's address."""
+        if not self._liveness.has_ended(owner):
+            self._client.log_event(
+                "another target replied",
+                service=self.service,
+                term=self._term,
+                owner=owner.target_id,
+                born=owner.born,
+                address=owner.address,
+                source=source,
+                detail=result.detail,
+                replied_at=_round_time(clock.boottime()),
+            )
+        self._liveness.record_end(owner)
+
     def _record_reply(
         self, owner: table.Owner, source: str, result: target_requests.Result
     ) -> None:
@@ -573,7 +696,7 @@
             if result.outcome is target_requests.Outcome.DONE:
                 self._record_reply(owner, "health check", result)
             elif result.outcome is target_requests.Outcome.GONE:
-                self._liveness.record_end(owner)
+                self._record_end(owner, "health check", result)
                 return
 
     def _start_task(self, coro: collections.abc.Coroutine) -> asyncio.Task:
@@ -588,3 +711,8 @@
             self._client.log_event(
                 "shard coordinator failed", detail=repr(task.exception())
             )
+
+
+def _round_time(seconds: float | None) -> float | None:
+    """Rounds a time for the log."""
+    return None if seconds is None else round(seconds, grant_log.TIME_DIGITS)
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jujubeyard import clock
+from jujubeyard.node import metrics
 from jujubeyard.ownership import holds
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import ownership_client
@@ -35,6 +36,7 @@
         monkeypatch.setattr(shard_coordinator.asyncio, "sleep", self.sleep)
         self.store = fakes.FakeStore()
         self.log = fakes.RecordingJournal()
+        self.metrics = metrics.Metrics()
         self.target_client = fakes.FakeTargetClient(lambda: self.now)
         self.cluster_state = fakes.FakePlacementInputs()
         self.tables = []
@@ -72,6 +74,7 @@
             self.cluster_state,
             client,
             MAX_HOLD_SECONDS,
+            self.metrics,
         )
         self.coordinator.load(await client.read_table(SERVICE))
 
