--- a/platform_standins/records.py
+++ b/platform_standins/records.py
@@ -126,7 +126,7 @@
             path: Its path.
         """
         # Unbuffered, since the process may be killed at any moment.
-        self._file = path.open("ab", buffering=0)
+        self._file = path.open("xb", buffering=0)
 
     def add(self, event: Event) -> None:
         """Writes an event."""
