Send grants only to an owner that has just replied

Callers: two targets held the same keys, and both began calls on them (OWNER). Cause: a grant counts from when its target takes it. A target that is suspended is sent a renewal of each of its shards until the first one times out. They wait in its sockets; after their holds have ended as reckoned from the sending, the keys go to another target, and the first one takes the renewals once it is resumed: lower fences, and for 3 ms, until it reads the releases, two holders. Change: right before grants go to an owner, one request that changes nothing (a release of keys that are another target's, under fence 1) has to be answered; a reply of the last 20 ms does. The renewals of an owner are sent together, so that they share the check. A target that is suspended finds such releases in its sockets, and no grants. What is left is the time of one round trip.

--- a/src/jujubeyard/ownership/ownership_client.py
+++ b/src/jujubeyard/ownership/ownership_client.py
@@ -127,6 +127,19 @@
             self._target_client.release, self._fresh_session, request, seconds
         )
 
+    async def check(
+        self, request: target_requests.ReleaseRequest, seconds: float
+    ) -> target_requests.Result:
+        """Sends a release that changes nothing, as grants are sent.
+
+        Args:
+            request: The release request.
+            seconds: Timeout.
+        """
+        return await target_requests.send_request(
+            self._target_client.release, self._session, request, seconds
+        )
+
     async def probe(
         self, service: str, owner: table.Owner
     ) -> target_requests.Result:
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -17,6 +17,7 @@
 from jujubeyard.ownership import holds
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import liveness
+from jujubeyard.ownership import liveness_check
 from jujubeyard.ownership import ownership_client
 from jujubeyard.ownership import planner
 from jujubeyard.ownership import table
@@ -49,6 +50,9 @@
 It lets new owners accept their grants before calls are routed to them.
 """
 
+RENEW_TOGETHER_SECONDS = 0.2
+"""How much earlier than due a renewal is sent beside others of its owner."""
+
 MIN_RELEASE_SECONDS = 0.3
 WRITE_RETRY_SECONDS = 0.3
 """Pause after a failed write of the table."""
@@ -164,6 +168,9 @@
         self._table: table.ShardTable | None = None
         self._holds = holds.HoldTracker(max_hold_seconds)
         self._liveness = liveness.OwnerLiveness()
+        self._liveness_check = liveness_check.LivenessCheck(
+            self._check_owner, self._start_task
+        )
         self._destinations: dict[int, table.Owner] = {}
         self._freed: dict[int, FreedShard] = {}
         self._renewal_failed_before = False
@@ -527,9 +534,16 @@
         if renewal_failed and not self._renewal_failed_before:
             self._holds.make_all_renewals_due()
         self._renewal_failed_before = renewal_failed
+        due_owners = {
+            shard.owner
+            for shard in self._table.shards
+            if self._holds.get(shard.first).renew_at <= now
+        }
         for shard in self._table.shards:
             hold = self._holds.get(shard.first)
-            if hold.is_sending or hold.renew_at > now:
+            if shard.owner not in due_owners:
+                continue
+            if hold.is_sending or hold.renew_at > now + RENEW_TOGETHER_SECONDS:
                 continue
             if shard.first in self._destinations:
                 continue
@@ -556,14 +570,12 @@
         Each grant has a fence of its own, for another incarnation of the owner
         may take it: it serves the same name at the same address.
         """
-        now = clock.boottime()
-        is_current = self._table.find(shard.first) == shard
-        if not self._leadership.is_leader() or not is_current:
-            return
-        if shard.first in self._destinations:
+        if not self._may_grant(shard):
             return
-        if self._liveness.has_ended(shard.owner):
+        is_running = await self._liveness_check.confirm(shard.owner)
+        if not is_running or not self._may_grant(shard):
             return
+        now = clock.boottime()
         renewal_failed = self._leadership.renewal_failed
         seconds = self._holds.start_grant(shard.first, now, renewal_failed)
         request = target_requests.GrantRequest(
@@ -596,6 +608,54 @@
             )
         return result
 
+    def _may_grant(self, shard: table.Shard) -> bool:
+        """Returns whether this node may send the owner of a shard a grant."""
+        return (
+            self._leadership.is_leader()
+            and self._table.find(shard.first) == shard
+            and shard.first not in self._destinations
+            and not self._liveness.has_ended(shard.owner)
+        )
+
+    async def _check_owner(self, owner: table.Owner) -> bool:
+        """Returns whether an owner's process replies to a request.
+
+        It need not if no other target has keys, which it might take.
+        """
+        settled = [
+            shard
+            for shard in self._table.shards
+            if shard.first not in self._destinations
+        ]
+        request = liveness_check.make_check(owner, settled)
+        if request is None:
+            return True
+        result = await self._client.check(request, holds.GRANT_TIMEOUT_SECONDS)
+        return self._handle_check_result(owner, result)
+
+    def _handle_check_result(
+        self, owner: table.Owner, result: target_requests.Result
+    ) -> bool:
+        """Records the result of a check; returns whether the owner replied."""
+        if result.reply is not None:
+            self._cluster_state.observe_reply(owner, result.reply)
+        if liveness_check.is_from_owner(result):
+            self._record_reply(owner, "check", result)
+            return True
+        self._client.log_event(
+            "owner check failed",
+            service=self.service,
+            owner=owner.target_id,
+            born=owner.born,
+            outcome=result.outcome.value,
+            detail=result.detail,
+        )
+        if result.outcome is target_requests.Outcome.GONE:
+            self._record_end(owner, "check", result)
+        else:
+            self._note_failure(owner, clock.boottime())
+        return False
+
     def _handle_grant_result(
         self,
         shard: table.Shard,
@@ -606,6 +666,7 @@
             self._cluster_state.observe_reply(shard.owner, result.reply)
         if result.outcome is target_requests.Outcome.DONE:
             self._record_reply(shard.owner, "grant", result)
+            self._liveness_check.record_reply(shard.owner)
             self._record_taken(shard, request)
             return
         self._client.log_event(
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -12,6 +12,7 @@
 from jujubeyard.ownership import planner
 from jujubeyard.ownership import shard_coordinator
 from jujubeyard.ownership import table
+from jujubeyard.ownership import target_requests
 from tests.utils import fakes
 
 SERVICE = "desk"
@@ -497,6 +498,24 @@
     assert harness.owners() == {"b"}
 
 
+@pytest.mark.parametrize("steps_until_suspension", range(0, 20, 3))
+async def test_no_grant_waits_for_a_suspended_owner(
+    harness, steps_until_suspension
+):
+    harness.add_targets("a", "b")
+    await harness.lead()
+    await harness.run(5.0 + 0.05 * steps_until_suspension)
+    suspended = harness.target_client.targets["a"]
+    suspended.is_suspended = True
+    await harness.run(3 * HOLD_SECONDS)
+    assert harness.owners() == {"b"}
+    assert [
+        request
+        for request in suspended.waiting_requests
+        if isinstance(request, target_requests.GrantRequest)
+    ] == []
+
+
 async def test_fences_of_new_leader_are_higher(harness):
     harness.add_targets("a")
     await harness.lead()
--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -151,6 +151,8 @@
         owner: Owner record of the target in the router's shard tables.
         is_unresponsive: Whether requests are neither applied nor answered.
         is_refusing: Whether connections are refused.
+        is_suspended: Whether requests wait until the process is resumed.
+        waiting_requests: The grants and releases that wait, in order.
         loses_replies: Whether requests are applied but not answered.
         highest_fences: Highest fence received, by shard.
         held_until: Time at which the hold ends, by shard.
@@ -163,6 +165,10 @@
         self.owner = owner
         self.is_unresponsive = False
         self.is_refusing = False
+        self.is_suspended = False
+        self.waiting_requests: list[
+            target_requests.GrantRequest | target_requests.ReleaseRequest
+        ] = []
         self.loses_replies = False
         self.highest_fences: dict[int, int] = {}
         self.held_until: dict[int, float] = {}
@@ -225,7 +231,8 @@
     async def probe(self, _, service: str, owner: table.Owner):
         target = self.targets[owner.target_id]
         is_elsewhere = target.owner.address != owner.address
-        if target.is_unresponsive or target.is_refusing or is_elsewhere:
+        is_silent = target.is_unresponsive or target.is_suspended
+        if is_silent or target.is_refusing or is_elsewhere:
             return target_requests.Result(target_requests.Outcome.UNKNOWN)
         reply = target_requests.Reply(
             200, "", None, cold_seconds=target.cold_seconds
@@ -237,7 +244,9 @@
         is_elsewhere = target.owner.address != request.target.address
         if is_elsewhere or target.is_refusing:
             raise aiohttp.ConnectionTimeoutError
-        if target.is_unresponsive:
+        if target.is_suspended:
+            target.waiting_requests.append(request)
+        if target.is_unresponsive or target.is_suspended:
             raise TimeoutError
         return target
 
