Count a hold from the end of its grant if the event loop stood still

Callers: none were seen; found by weighing what real processes have. Cause: a hold was reckoned from the decision to send its grant, plus the timeout of 0.7 s. The request is written in a task, an iteration of the event loop later, and a timeout is noticed by the same loop, so that a loop that stands still for longer sends a grant that outlasts what was reckoned. Change: a grant that ends after its timeout extends the hold from its end. Evidence: test_hold_counts_from_the_end_of_a_send_that_stalled, three of whose four rows had two holders before.

--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -587,6 +587,9 @@
             shard.handover,
         )
         result = await self._send_grant(request, now)
+        ended_at = clock.boottime()
+        if ended_at > now + holds.GRANT_TIMEOUT_SECONDS:
+            self._holds.extend_late_grant(shard, ended_at, seconds)
         if self._is_stopped:
             return
         self._handle_grant_result(shard, request, result)
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -516,6 +516,29 @@
     ] == []
 
 
+@pytest.mark.parametrize("stall_seconds", [0.5, 1.0, 2.0, 5.0])
+async def test_hold_counts_from_the_end_of_a_send_that_stalled(
+    harness, stall_seconds
+):
+    harness.add_targets("a", "b")
+    await harness.lead()
+    await harness.run(5.0)
+    stalled = harness.target_client.targets["a"]
+    send_grant = harness.target_client.grant
+
+    async def stall_and_grant(session, request, seconds):
+        if request.target.target_id != "a":
+            return await send_grant(session, request, seconds)
+        harness.now += stall_seconds
+        stalled.grant(request, harness.now)
+        stalled.is_unresponsive = True
+        raise TimeoutError
+
+    harness.target_client.grant = stall_and_grant
+    await harness.run(3 * HOLD_SECONDS)
+    assert harness.owners() == {"b"}
+
+
 async def test_fences_of_new_leader_are_higher(harness):
     harness.add_targets("a")
     await harness.lead()
