Let a coordinator act only in the term in which it was made

Cause: the runner checks the term, waits for the store while it starts coordinators of further services, and ticks the earlier ones without another look. A node that lost its term and won the next one meanwhile let the coordinator of the earlier term grant and release under the fences of the next, on what it knew of holds before. Change: a coordinator asks whether its own term lasts. Evidence: test_coordinator_of_an_earlier_term_sends_nothing failed before.

--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -214,7 +214,7 @@
             now: Boot time, in seconds.
         """
         self._grant_log.flush(now)
-        if self._table is None or not self._leadership.is_leader():
+        if self._table is None or not self._is_leading():
             return
         if self._client.lost_addresses:
             self._check_lost_owners(now)
@@ -230,6 +230,11 @@
         self._write_freed(candidates)
         self._renew(now)
 
+    def _is_leading(self) -> bool:
+        """Returns whether the term in which this coordinator runs lasts."""
+        leadership = self._leadership
+        return leadership.term == self._term and leadership.is_leader()
+
     def _check_lost_owners(self, now: float) -> None:
         """Checks the owners that have closed all connections for grants.
 
@@ -399,7 +404,7 @@
             remaining = hold.until - clock.boottime()
             if remaining <= 0.0:
                 return evidence.Evidence.EXPIRED, ""
-            if not self._leadership.is_leader():
+            if not self._is_leading():
                 await asyncio.sleep(PROBE_SECONDS)
                 continue
             seconds = max(remaining, MIN_RELEASE_SECONDS)
@@ -614,7 +619,7 @@
     def _may_grant(self, shard: table.Shard) -> bool:
         """Returns whether this node may send the owner of a shard a grant."""
         return (
-            self._leadership.is_leader()
+            self._is_leading()
             and self._table.find(shard.first) == shard
             and shard.first not in self._destinations
             and not self._liveness.has_ended(shard.owner)
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -539,6 +539,20 @@
     assert harness.owners() == {"b"}
 
 
+async def test_coordinator_of_an_earlier_term_sends_nothing(harness):
+    harness.add_targets("a", "b")
+    await harness.lead()
+    await harness.run(5.0)
+    leadership = harness.leadership
+    harness.store.expire(leadership._lease)
+    leadership._end_term("the lease no longer exists")
+    assert await leadership._campaign()
+    targets = harness.target_client.targets.values()
+    fences = [list(target.granted_fences) for target in targets]
+    await harness.run(2 * HOLD_SECONDS)
+    assert [target.granted_fences for target in targets] == fences
+
+
 async def test_fences_of_new_leader_are_higher(harness):
     harness.add_targets("a")
     await harness.lead()
