Keep the listings of running targets through an outage of the store

Heartbeats that came while the store was down were not noted, so that after an outage of 1.5 s or more the listings of all targets were removed at once, until their next heartbeats. Heartbeats are noted in any case now; a target that ended during the outage still loses its listing right after it.

--- a/soak/targets.py
+++ b/soak/targets.py
@@ -155,14 +155,19 @@
         self._heartbeats: dict[str, float] = {}
 
     def apply(self, write: target_process.ListingWrite) -> None:
-        """Writes or removes a listing, unless the store is down."""
+        """Writes or removes a listing, unless the store is down.
+
+        A heartbeat is noted in any case, so that the listings of targets that
+        are up outlast an outage of the store.
+        """
+        if write.value is not None:
+            self._heartbeats[write.key] = time.monotonic()
         if self._store.faults.is_down():
             return
         if write.value is None:
             self._heartbeats.pop(write.key, None)
             self._store.remove(write.key)
             return
-        self._heartbeats[write.key] = time.monotonic()
         self._store.put(write.key, write.value)
 
     async def run(self) -> None:
