Test records and what target processes and the soak tell each other

A listing with an empty value, which no target writes, could not be passed on; it can now. Commands are parsed by a function beside the one that writes them, as specs and listing writes are.

--- a/platform_standins/target_process.py
+++ b/platform_standins/target_process.py
@@ -74,6 +74,11 @@
         return json.dumps(dataclasses.asdict(self)).encode() + b"\n"
 
 
+def load_command(line: bytes) -> Command:
+    """Parses a line that `Command.dump` returned."""
+    return Command(**json.loads(line))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListingWrite:
     """What a target writes to the store.
@@ -88,14 +93,16 @@
 
     def dump(self) -> bytes:
         """Returns the line that is sent to the parent process."""
-        value = self.value and base64.b64encode(self.value).decode()
-        return json.dumps([self.key, value]).encode() + b"\n"
+        value = base64.b64encode(self.value or b"").decode()
+        is_removed = self.value is None
+        fields = [self.key, None if is_removed else value]
+        return json.dumps(fields).encode() + b"\n"
 
 
 def load_listing_write(line: bytes) -> ListingWrite:
     """Parses a line that `ListingWrite.dump` returned."""
     key, value = json.loads(line)
-    return ListingWrite(key, base64.b64decode(value) if value else None)
+    return ListingWrite(key, None if value is None else base64.b64decode(value))
 
 
 class ParentStore:
@@ -142,7 +149,7 @@
         lambda: asyncio.StreamReaderProtocol(commands), sys.stdin
     )
     while line := await commands.readline():
-        await _carry_out(member, Command(**json.loads(line)))
+        await _carry_out(member, load_command(line))
 
 
 if __name__ == "__main__":
