Fit the soak's other tests to targets that write records

test_checks.py: arrivals moved to records; wrong or unsigned responses, which callers reported before, are cases of the checks now.

test_faults.py: the zones are those of the fleet's shape.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from platform_standins import target
+from platform_standins import records
 from soak import checks
 from soak import observations
 
@@ -23,6 +23,8 @@
         idempotent=False,
         status=200,
         interrupted=False,
+        body="answer",
+        signed=True,
     ):
         self.observed.calls[call_id] = observations.Call(
             call_id,
@@ -34,12 +36,19 @@
             at + 0.1,
             status,
             interrupted,
+            body,
+            signed,
         )
+        self.respond(call_id)
+        return self
+
+    def respond(self, call_id, body="answer"):
+        self.observed.add_events([records.Responded(call_id, body)])
         return self
 
     def run(self, call_id, target_name="t1", at=10.05, ran=True, cold=False):
         self.observed.arrivals.append(
-            target.Arrival(call_id, target_name, "pool", at, cold, ran)
+            records.Arrival(call_id, target_name, "pool", at, cold, ran)
         )
         return self
 
@@ -98,6 +107,23 @@
     ),
     ("refused and run", Scenario().call("c1", status=429).run("c1"), "REFUSED"),
     ("failed and run", Scenario().call("c1", status=502).run("c1"), None),
+    (
+        "second of two responses",
+        Scenario().call("c1", body="again").run("c1").respond("c1", "again"),
+        None,
+    ),
+    ("other response", Scenario().call("c1", body="x").run("c1"), "MIXED"),
+    (
+        "response to another call",
+        Scenario().call("c1", body="x").run("c1").respond("c2", "x"),
+        "MIXED",
+    ),
+    ("unsigned", Scenario().call("c1", signed=False).run("c1"), "MIXED"),
+    (
+        "unsigned failure",
+        Scenario().call("c1", status=502, body="", signed=False),
+        None,
+    ),
     (
         "cut by a stop",
         Scenario()
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -39,6 +39,7 @@
             name: fleet.Node(name, "a", "", None, FakeProcess())
             for name in ("n1", "n2")
         }
+        self.shape = fleet.Shape(("a",), 2, {}, 0)
         self.spawned = []
 
     def spawn(self, node):
@@ -82,7 +83,6 @@
         await asyncio.sleep(next(waits))
 
     monkeypatch.setattr(ctx, "wait", wait)
-    monkeypatch.setattr(fleet, "ZONES", ("a",))
     started = [asyncio.create_task(faults.evacuate_zone(ctx)) for _ in range(3)]
     key = documents.evacuation_key("a")
     await asyncio.sleep(0.05)
--- a/tests/soak/test_keys.py
+++ b/tests/soak/test_keys.py
@@ -5,25 +5,17 @@
 import pytest
 
 from platform_standins import keys
+from platform_standins import records
 
 
-class FakeObserver:
-    """Collects the reported conflicts."""
+class FakeRecorder:
+    """Collects the events of a target."""
 
     def __init__(self):
-        self.conflicts = []
+        self.events = []
 
-    def record_conflict(self, detail):
-        self.conflicts.append(detail)
-
-
-class Pair:
-    """The keys of two targets that check each other for conflicts."""
-
-    def __init__(self):
-        self.observer = FakeObserver()
-        self.one = keys.HeldKeys("t1", self.observer, lambda: [self.two])
-        self.two = keys.HeldKeys("t2", self.observer, lambda: [self.one])
+    def add(self, event):
+        self.events.append(event)
 
 
 def _make_request(fence, first=0, last=127, hold="1000ms"):
@@ -35,8 +27,13 @@
 
 
 @pytest.fixture
-def pair():
-    return Pair()
+def recorder():
+    return FakeRecorder()
+
+
+@pytest.fixture
+def held_keys(recorder):
+    return keys.HeldKeys(recorder)
 
 
 @pytest.mark.parametrize(
@@ -53,46 +50,56 @@
     ],
 )
 def test_highest_fence_decides_whether_a_key_is_held(
-    pair, requests, statuses, is_held
+    held_keys, requests, statuses, is_held
 ):
     results = []
     for kind, fence in requests:
         if kind == "grant":
-            results.append(_grant(pair.one, fence))
+            results.append(_grant(held_keys, fence))
         else:
-            pair.one.release(_make_request(fence))
+            held_keys.release(_make_request(fence))
             results.append(None)
     assert results == statuses
-    assert pair.one.holds(0) is is_held
-    assert not pair.observer.conflicts
+    assert held_keys.holds(0) is is_held
 
 
-def test_part_of_a_grant_can_be_released(pair):
-    _grant(pair.one, 5)
-    pair.one.release(_make_request(6, first=64))
-    assert pair.one.holds(0) and not pair.one.holds(1)
+def test_part_of_a_grant_can_be_released(held_keys):
+    _grant(held_keys, 5)
+    held_keys.release(_make_request(6, first=64))
+    assert held_keys.holds(0) and not held_keys.holds(1)
 
 
-def test_hold_time_starts_when_the_grant_arrives(pair):
+def test_hold_time_starts_when_the_grant_arrives(held_keys):
     arrived_at = time.monotonic() - 2.0
-    pair.one.grant(_make_request(5), arrived_at)
-    assert not pair.one.holds(0)
+    held_keys.grant(_make_request(5), arrived_at)
+    assert not held_keys.holds(0)
+
+
+def test_accepted_grants_and_releases_are_recorded(held_keys, recorder):
+    arrived_at = time.monotonic()
+    held_keys.grant(_make_request(5, hold="980ms"), arrived_at)
+    held_keys.grant(_make_request(4), arrived_at)
+    held_keys.release(_make_request(6, first=64))
+    granted, released = recorder.events
+    # The hold time ends later on the slowest clock.
+    assert granted == records.Granted(
+        granted.at, 0, 1, 5, pytest.approx(arrived_at + 1.0)
+    )
+    assert released == records.Released(released.at, 1, 1, 6)
+    assert arrived_at <= granted.at <= released.at <= time.monotonic()
 
 
-def test_call_on_a_key_that_another_target_holds_is_reported(pair):
-    _grant(pair.one, 5)
-    _grant(pair.two, 6)
-    assert not pair.observer.conflicts
-    pair.two.check_sole_owner(0)
-    assert len(pair.observer.conflicts) == 1
+def test_record_has_the_expiry_that_the_target_keeps(held_keys, recorder):
+    _grant(held_keys, 5)
+    assert recorder.events[0].until == held_keys.held_until(0)
 
 
-def test_fence_that_does_not_increase_is_reported(pair):
-    _grant(pair.one, 6, last=63)
-    _grant(pair.two, 5, last=63)
-    assert len(pair.observer.conflicts) == 1
+def test_rejected_grant_is_not_recorded(held_keys, recorder):
+    held_keys.release(_make_request(6))
+    _grant(held_keys, 5)
+    assert [type(event) for event in recorder.events] == [records.Released]
 
 
-def test_grant_of_part_of_a_bucket_is_an_error(pair):
+def test_grant_of_part_of_a_bucket_is_an_error(held_keys):
     with pytest.raises(ValueError, match="divide"):
-        _grant(pair.one, 5, last=70)
+        _grant(held_keys, 5, last=70)
