Write a soak's disruptions and findings to a timeline

Findings could not be laid beside the records of targets: their times were printed from the start of the soak, and disruptions were kept nowhere. Findings on owners name the record of each holder instead of a number that stands in no file.

--- a/soak/core.py
+++ b/soak/core.py
@@ -16,6 +16,7 @@
 from soak import faults
 from soak import fleet
 from soak import observations
+from soak import timeline
 
 PROGRAM = "soak"
 STARTUP_SECONDS = 15.0
@@ -80,7 +81,7 @@
             count: Number of seeds.
             seconds: How long to inject faults for each seed.
             only: Comma-separated names of faults to inject; all if empty.
-            directory: Where to keep settings and logs; a temporary directory
+            directory: Where to keep settings, records and logs; a temporary one
                 if empty.
             shape: Size of the fleet, by its name in `fleet.SHAPES`.
         """
@@ -128,7 +129,7 @@
 
     Args:
         seed: Seed of the load and the faults.
-        directory: Where to write settings and logs.
+        directory: Where to write settings, records, logs and the timeline.
         seconds: How long to inject faults.
         only: Names of the faults to inject; all if empty.
         shape: Size of the fleet, by its name in `fleet.SHAPES`.
@@ -162,7 +163,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await running_fleet.stop()
     running_fleet.read_records()
-    return _make_outcome(seed, running_fleet.observed, recovery_seconds)
+    outcome = _make_outcome(seed, running_fleet.observed, recovery_seconds)
+    timeline.write(directory, running_fleet.observed)
+    return outcome
 
 
 async def _inject_faults(
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -211,12 +211,13 @@
     def read_records(self) -> None:
         """Takes over what all targets recorded, and checks who held keys."""
         lives_by_service = collections.defaultdict(list)
-        for number, member in enumerate(self.targets):
-            events = records.read(member.life.record)
+        for member in self.targets:
+            record = member.life.record
+            events = records.read(record)
             self.observed.add_events(events)
             lives_by_service[member.service.name].append(
                 ownership_checks.Life(
-                    member.name, number, member.life.ended_at, events
+                    member.name, record.stem, member.life.ended_at, events
                 )
             )
         for service, lives in lives_by_service.items():
--- a/soak/ownership_checks.py
+++ b/soak/ownership_checks.py
@@ -28,18 +28,18 @@
 
     Attributes:
         name: Name of the target.
-        number: Tells the life from others of the target.
+        record: Name of its record, which tells it from other lives.
         ended_at: When the process ended, in monotonic seconds.
         events: What it recorded, in order.
     """
 
     name: str
-    number: int
+    record: str
     ended_at: float
     events: list[records.Event]
 
     def __str__(self) -> str:
-        return f"{self.name}#{self.number}"
+        return self.record
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/soak/test_ownership_checks.py
+++ b/tests/soak/test_ownership_checks.py
@@ -65,11 +65,11 @@
         lives = [
             ownership_checks.Life(
                 life.partition(".")[0],
-                number,
+                life,
                 self.ends.get(life, 100.0),
                 sorted(events, key=lambda event: event.at),
             )
-            for number, (life, events) in enumerate(self.events.items())
+            for life, events in self.events.items()
         ]
         ownership_checks.OwnershipCheck(lives, self.observed).run()
         return self.observed.findings
@@ -457,8 +457,8 @@
         .call("t2", 13, 13.1, 7)
     )
     assert [str(finding) for finding in scenario.check()] == [
-        "OWNER at 12.00 s: t1#0 under 5 and t2#1 under 6 held keys for "
+        "OWNER at 12.00 s: t1 under 5 and t2 under 6 held keys for "
         "3.00 s: buckets 4 to 7",
-        "OWNER at 12.00 s: t1#0 under 5 and t2#1 under 6 held and used keys "
+        "OWNER at 12.00 s: t1 under 5 and t2 under 6 held and used keys "
         "for 3.000 s: buckets 4 to 7",
     ]
