Shorten the soak's faults

Waiting for the store stood four times in faults.py, and the list of its broken modes three times. Fleet.find_running lost its only caller when listings moved out of the targets.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -78,6 +78,11 @@
         """Waits for a random time between two bounds, in seconds."""
         await asyncio.sleep(self.rng.uniform(shortest, longest))
 
+    async def wait_for_store(self) -> None:
+        """Waits until the store isn't down."""
+        while self.fleet.store.faults.is_down():
+            await asyncio.sleep(0.1)
+
     def pick_node(self) -> fleet.Node:
         """Returns the leader or, with a probability of one half, any node."""
         leading = self.fleet.leading_node()
@@ -227,7 +232,7 @@
     """Makes the store fail for some nodes while it serves the others."""
     nodes = list(ctx.fleet.nodes)
     affected = set(ctx.rng.sample(nodes, ctx.rng.randint(1, len(nodes) - 1)))
-    mode = ctx.rng.choice([m for m in store.Mode if m is not store.Mode.NORMAL])
+    mode = ctx.rng.choice(BROKEN_MODES)
     with contextlib.ExitStack() as stack:
         for name in affected:
             stack.enter_context(
@@ -261,7 +266,7 @@
 
     Leases either expire meanwhile or are extended by the time of the outage.
     """
-    mode = ctx.rng.choice([m for m in store.Mode if m is not store.Mode.NORMAL])
+    mode = ctx.rng.choice(BROKEN_MODES)
     with ctx.record_disruption("store outage", observations.EVERYWHERE):
         leases_expire = ctx.rng.random() < 0.5
         await _inject_store_faults(
@@ -438,8 +443,7 @@
     if picked not in ctx.fleet.stable_targets():
         return
     picked.is_draining = True
-    while ctx.fleet.store.faults.is_down():
-        await asyncio.sleep(0.1)
+    await ctx.wait_for_store()
     if ctx.rng.random() < 0.7:
         picked.drain()
     else:
@@ -455,8 +459,7 @@
 async def change_configuration(ctx: FaultContext) -> None:
     """Writes several configuration versions in quick succession."""
     for _ in range(ctx.rng.randint(1, 4)):
-        while ctx.fleet.store.faults.is_down():
-            await asyncio.sleep(0.1)
+        await ctx.wait_for_store()
         ctx.configure()
         await ctx.wait(0.05, 1.0)
 
@@ -471,8 +474,7 @@
     for node in slow_nodes:
         node.store_proxy.bytes_per_second = SLOW_LINK_BYTES_PER_SECOND
     for ctx.extra_routes in (GROWN_ROUTES, 0):
-        while ctx.fleet.store.faults.is_down():
-            await asyncio.sleep(0.1)
+        await ctx.wait_for_store()
         ctx.configure()
         await ctx.wait(2.5, 5.0)
     for node in slow_nodes:
@@ -486,8 +488,7 @@
     """
     zone = ctx.rng.choice(ctx.fleet.shape.zones)
     key = documents.evacuation_key(zone)
-    while ctx.fleet.store.faults.is_down():
-        await asyncio.sleep(0.1)
+    await ctx.wait_for_store()
     ctx.fleet.store.put(key, b"{}")
     removal = observations.Removal(zone, time.monotonic())
     ctx.observed.evacuations.append(removal)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -232,12 +232,6 @@
             if member.is_up and member.service.name == service
         ]
 
-    def find_running(self, name: str) -> targets.Target | None:
-        """Returns the incarnation of a target that is up, if any."""
-        return next(
-            (t for t in self.targets if t.is_up and t.name == name), None
-        )
-
     def stable_targets(self) -> list[targets.Target]:
         """Returns the targets that are up, and neither draining nor frozen."""
         return [
