Write a grant in time or not at all

Cause: nothing looks at the time or the lease between the check and the write, and a timeout that is noticed by the same loop comes after it. Change: a grant bears the time by which it must be written, the earlier of its timeout and the end of the lease, and its body raises instead of being written later. That replaces the longer reckoning of holds from the end of a grant, which knew nothing of the next leader. Evidence: test_grant_whose_time_has_passed_is_not_sent failed before, as did three rows of test_grant_that_stalled_is_not_sent_after_its_hold_was_reckoned.

--- a/bench/grant_log_costs.py
+++ b/bench/grant_log_costs.py
@@ -51,6 +51,7 @@
             TERM * FENCES_PER_TERM + number,
             3.51,
             "",
+            0.0,
         )
         for number in range(GRANTS_PER_LINE)
     ]
--- a/src/jujubeyard/ownership/holds.py
+++ b/src/jujubeyard/ownership/holds.py
@@ -148,39 +148,17 @@
         hold.renew_at = now + pause
         return seconds
 
-    def extend_late_grant(
-        self, shard: table.Shard, ended_at: float, seconds: float
-    ) -> None:
-        """Extends the hold of a shard whose grant ended after its timeout.
-
-        The event loop stood still, so that the grant may have been sent late.
-
-        Args:
-            shard: The shard; it may have been split since.
-            ended_at: When the grant was answered or given up.
-            seconds: Its length.
-        """
-        until = expiry_after(ended_at, seconds)
-        for shard_first, hold in self._holds_by_first.items():
-            if shard.first <= shard_first <= shard.last:
-                hold.until = max(hold.until, until)
-
 
 def latest_expiry(sent_at: float, seconds: float) -> float:
-    """Returns when a grant that is being sent has expired at the latest.
+    """Returns when a grant has expired at the latest.
 
     Args:
         sent_at: When the grant was sent.
         seconds: Length of the grant, counted by the target from its arrival.
     """
-    return expiry_after(sent_at + GRANT_TIMEOUT_SECONDS, seconds)
-
-
-def expiry_after(ended_at: float, seconds: float) -> float:
-    """Returns when a grant that was answered or given up has expired.
-
-    Args:
-        ended_at: When the grant was answered or given up.
-        seconds: Length of the grant, counted by the target from its arrival.
-    """
-    return ended_at + seconds * MAX_CLOCK_DRIFT_FACTOR + HOLD_MARGIN_SECONDS
+    return (
+        sent_at
+        + GRANT_TIMEOUT_SECONDS
+        + seconds * MAX_CLOCK_DRIFT_FACTOR
+        + HOLD_MARGIN_SECONDS
+    )
--- a/src/jujubeyard/ownership/leader.py
+++ b/src/jujubeyard/ownership/leader.py
@@ -77,6 +77,11 @@
         """Key of the leader item in the store."""
         return self._key
 
+    @property
+    def valid_until(self) -> float:
+        """Boot time until which the lease can't have expired."""
+        return self._valid_until
+
     def is_leader(self) -> bool:
         """Returns whether this node leads and its lease can't have expired."""
         return bool(self.term) and clock.boottime() < self._valid_until
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -595,11 +595,11 @@
             self._leadership.allocate_fence(),
             seconds,
             shard.handover,
+            min(
+                now + holds.GRANT_TIMEOUT_SECONDS, self._leadership.valid_until
+            ),
         )
         result = await self._send_grant(request, now)
-        ended_at = clock.boottime()
-        if ended_at > now + holds.GRANT_TIMEOUT_SECONDS:
-            self._holds.extend_late_grant(shard, ended_at, seconds)
         if self._is_stopped:
             return
         self._handle_grant_result(shard, request, result)
--- a/src/jujubeyard/ownership/target_requests.py
+++ b/src/jujubeyard/ownership/target_requests.py
@@ -27,6 +27,7 @@
         hold_seconds: Length of the grant, counted from its arrival.
         handover: State that the previous owner returned on release; may be
             empty.
+        send_by: Boot time after which it must not be sent any more.
     """
 
     target: table.Owner
@@ -35,6 +36,7 @@
     fence: int
     hold_seconds: float
     handover: str
+    send_by: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/jujubeyard/platform/target_client.py
+++ b/src/jujubeyard/platform/target_client.py
@@ -7,6 +7,7 @@
 
 from jujubeyard import bodies
 from jujubeyard import durations
+from jujubeyard import timely_body
 from jujubeyard.ownership import table
 from jujubeyard.ownership import target_requests
 from jujubeyard.platform import documents
@@ -44,7 +45,8 @@
     }
     if grant.handover:
         document["handover"] = grant.handover
-    return await _send(session, "/grant", grant.target, document, seconds)
+    body = timely_body.TimelyBody(_encode(document), grant.send_by)
+    return await _send(session, "/grant", grant.target, body, seconds)
 
 
 async def send_release(
@@ -71,7 +73,8 @@
         "target": release.last,
         "fence": release.fence,
     }
-    return await _send(session, "/release", release.target, document, seconds)
+    body = _encode(document)
+    return await _send(session, "/release", release.target, body, seconds)
 
 
 class TargetClient:
@@ -121,12 +124,14 @@
         return target_requests.Result(outcome, _make_reply(resp, owner))
 
 
-async def _send(
-    session, path, target, document, seconds
-) -> target_requests.Reply:
+def _encode(document: dict) -> bytes:
+    return json.dumps(document).encode()
+
+
+async def _send(session, path, target, body, seconds) -> target_requests.Reply:
     async with session.post(
         f"http://{target.address}{path}",
-        data=json.dumps(document).encode(),
+        data=body,
         headers={
             "Content-Type": "application/json",
             headers.NAMES.expected_target: target.target_id,
--- a/tests/ownership/test_grant_log.py
+++ b/tests/ownership/test_grant_log.py
@@ -27,7 +27,9 @@
 
     def start(self, fence):
         owner = table.Owner("a", 7, "a:1")
-        request = target_requests.GrantRequest(owner, 64, 127, fence, 3.5, "")
+        request = target_requests.GrantRequest(
+            owner, 64, 127, fence, 3.5, "", 0.0
+        )
         self.grants.start(request, 10.0)
 
 
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -517,7 +517,7 @@
 
 
 @pytest.mark.parametrize("stall_seconds", [0.5, 1.0, 2.0, 5.0])
-async def test_hold_counts_from_the_end_of_a_send_that_stalled(
+async def test_grant_that_stalled_is_not_sent_after_its_hold_was_reckoned(
     harness, stall_seconds
 ):
     harness.add_targets("a", "b")
@@ -530,8 +530,10 @@
         if request.target.target_id != "a":
             return await send_grant(session, request, seconds)
         harness.now += stall_seconds
-        stalled.grant(request, harness.now)
-        stalled.is_unresponsive = True
+        try:
+            await send_grant(session, request, seconds)
+        finally:
+            stalled.is_unresponsive = True
         raise TimeoutError
 
     harness.target_client.grant = stall_and_grant
--- a/tests/ownership/test_target_requests.py
+++ b/tests/ownership/test_target_requests.py
@@ -7,7 +7,7 @@
 from jujubeyard.ownership import target_requests
 
 OWNER = table.Owner("t1", 1, "127.0.0.1:1")
-GRANT = target_requests.GrantRequest(OWNER, 0, 9, 1, 1.0, "")
+GRANT = target_requests.GrantRequest(OWNER, 0, 9, 1, 1.0, "", 0.0)
 KEY = aiohttp.client_reqrep.ConnectionKey(
     "127.0.0.1", 1, False, True, None, None, None
 )
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -5,6 +5,7 @@
 import pytest
 
 from jujubeyard import bodies
+from jujubeyard import clock
 from jujubeyard import connections
 from jujubeyard.ownership import ownership_client
 from jujubeyard.ownership import table
@@ -45,12 +46,13 @@
     await fresh.close()
 
 
-async def _request(client, address: str, operation: str):
+async def _request(client, address: str, operation: str, send_in=1.0):
     owner = table.Owner("t1", 1, address)
     if operation == "probe":
         return (await client.probe("desk", owner)).outcome
     if operation == "grant":
-        grant = target_requests.GrantRequest(owner, 0, 9, 1, 1.0, "")
+        send_by = clock.boottime() + send_in
+        grant = target_requests.GrantRequest(owner, 0, 9, 1, 1.0, "", send_by)
         return (await client.grant(grant, 1.0)).outcome
     release = target_requests.ReleaseRequest(owner, 0, 9, 2)
     return (await client.release(release, 1.0)).outcome
@@ -72,6 +74,17 @@
         assert server.connections == 2
 
 
+@pytest.mark.parametrize("earlier_count", [0, 1])
+async def test_grant_whose_time_has_passed_is_not_sent(client, earlier_count):
+    async with raw_server.RawServer(*[[GRANTED]] * 2) as server:
+        for _ in range(earlier_count):
+            assert await _request(client, server.address, "grant") is DONE
+        late = await _request(client, server.address, "grant", -0.001)
+        assert late is UNKNOWN
+        assert await _request(client, server.address, "grant") is DONE
+        assert len(server.requests) == earlier_count + 1
+
+
 async def test_refusal_written_once_more_does_not_prove_that_an_owner_is_gone(
     client,
 ):
--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -218,6 +218,8 @@
     async def grant(
         self, _, request: target_requests.GrantRequest, seconds: float
     ):
+        if self._read_clock() > request.send_by:
+            raise TimeoutError
         target = self._find_responsive_target(request)
         reply = target.grant(request, self._read_clock())
         return self._return_reply(target, reply)
