Check sole owners too, and take no late reply for a sign of life

Cause: without keys of another target there was nothing to check with, and the grant went out unchecked. Change: a health check then. Also: the age of a reply counts from the sending of its request, and is looked at again after the wait, so that a stalled event loop doesn't take an old reply for a new one; after three late replies it does, since all are late while the loop is busy. The check is for the keys that another target has had for the longest time: a release waits for calls that run on its keys.

--- a/src/jujubeyard/ownership/liveness_check.py
+++ b/src/jujubeyard/ownership/liveness_check.py
@@ -11,8 +11,12 @@
 from jujubeyard.ownership import table
 from jujubeyard.ownership import target_requests
 
-MAX_REPLY_AGE_SECONDS = 0.02
-"""How long after an owner has replied its process still counts as running."""
+MAX_REPLY_AGE_SECONDS = 0.05
+"""How long after a request was sent its reply shows that a process runs."""
+
+MAX_CHECKS = 3
+"""Number of checks after which a late reply does. They are late for all owners
+while the event loop is busy."""
 
 CHECK_FENCE = 1
 """Fence of a release that checks an owner; below those of all grants, so that
@@ -36,18 +40,33 @@
         """
         self._check = check
         self._start_task = start_task
-        self._replied_at: dict[table.Owner, float] = {}
+        self._answered_since: dict[table.Owner, float] = {}
         self._tasks: dict[table.Owner, asyncio.Task] = {}
 
-    def record_reply(self, owner: table.Owner) -> None:
-        """Records that an owner has just replied."""
-        self._replied_at[owner] = clock.boottime()
+    def record_answered(self, owner: table.Owner, sent_at: float) -> None:
+        """Records that an owner has replied to a request.
+
+        Args:
+            owner: The owner.
+            sent_at: When the request was sent, in boot time.
+        """
+        self._answered_since[owner] = sent_at
 
     async def confirm(self, owner: table.Owner) -> bool:
         """Returns whether an owner replies, or has done so just now."""
-        replied_at = self._replied_at.get(owner, float("-inf"))
-        if clock.boottime() - replied_at <= MAX_REPLY_AGE_SECONDS:
-            return True
+        for _ in range(MAX_CHECKS):
+            if self._has_just_replied(owner):
+                return True
+            if not await self._run_shared(owner):
+                return False
+        return True
+
+    def _has_just_replied(self, owner: table.Owner) -> bool:
+        sent_at = self._answered_since.get(owner, float("-inf"))
+        return clock.boottime() - sent_at <= MAX_REPLY_AGE_SECONDS
+
+    async def _run_shared(self, owner: table.Owner) -> bool:
+        """Runs a check, or waits for the one in progress."""
         task = self._tasks.get(owner)
         if task is None or task.done():
             task = self._start_task(self._run(owner))
@@ -56,10 +75,11 @@
         return task.result()
 
     async def _run(self, owner: table.Owner) -> bool:
-        is_running = await self._check(owner)
-        if is_running:
-            self.record_reply(owner)
-        return is_running
+        sent_at = clock.boottime()
+        has_replied = await self._check(owner)
+        if has_replied:
+            self.record_answered(owner, sent_at)
+        return has_replied
 
 
 def is_from_owner(result: target_requests.Result) -> bool:
@@ -73,19 +93,22 @@
 ) -> target_requests.ReleaseRequest | None:
     """Returns a release that changes nothing at an owner.
 
-    It is for keys that another target owns.
+    It is for the keys that another target has owned for the longest time, since
+    a release waits for calls that run on its keys.
 
     Args:
         owner: The owner to check.
         shards: Shards of which none is being moved.
 
     Returns:
-        The release; None if no other target has keys, so that the owner can't
-        take any from one.
+        The release, or None if no other target has keys.
     """
-    for shard in shards:
-        if shard.owner.target_id != owner.target_id:
-            return target_requests.ReleaseRequest(
-                owner, shard.first, shard.last, CHECK_FENCE
-            )
-    return None
+    others = [
+        shard for shard in shards if shard.owner.target_id != owner.target_id
+    ]
+    if not others:
+        return None
+    shard = min(others, key=lambda other: other.fence)
+    return target_requests.ReleaseRequest(
+        owner, shard.first, shard.last, CHECK_FENCE
+    )
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -602,6 +602,8 @@
         result = await self._send_grant(request, now)
         if self._is_stopped:
             return
+        if result.outcome is target_requests.Outcome.DONE:
+            self._liveness_check.record_answered(shard.owner, now)
         self._handle_grant_result(shard, request, result)
 
     async def _send_grant(
@@ -633,7 +635,7 @@
     async def _check_owner(self, owner: table.Owner) -> bool:
         """Returns whether an owner's process replies to a request.
 
-        It need not if no other target has keys, which it might take.
+        That is a health check while no other target has keys.
         """
         settled = [
             shard
@@ -642,8 +644,11 @@
         ]
         request = liveness_check.make_check(owner, settled)
         if request is None:
-            return True
-        result = await self._client.check(request, holds.GRANT_TIMEOUT_SECONDS)
+            result = await self._client.probe(self.service, owner)
+        else:
+            result = await self._client.check(
+                request, holds.GRANT_TIMEOUT_SECONDS
+            )
         return self._handle_check_result(owner, result)
 
     def _handle_check_result(
@@ -679,7 +684,6 @@
             self._cluster_state.observe_reply(shard.owner, result.reply)
         if result.outcome is target_requests.Outcome.DONE:
             self._record_reply(shard.owner, "grant", result)
-            self._liveness_check.record_reply(shard.owner)
             self._record_taken(shard, request)
             return
         self._client.log_event(
--- a/src/jujubeyard/ownership/target_requests.py
+++ b/src/jujubeyard/ownership/target_requests.py
@@ -47,7 +47,8 @@
         target: The target incarnation that holds the keys.
         first: First key.
         last: Last key, inclusive.
-        fence: A fence higher than that of the grant.
+        fence: Fencing token of the release. It takes keys back if it is higher
+            than that of their grant.
     """
 
     target: table.Owner
--- a/src/jujubeyard/platform/target_client.py
+++ b/src/jujubeyard/platform/target_client.py
@@ -58,7 +58,7 @@
 
     Args:
         session: HTTP session for the request.
-        release: The keys and a fence higher than that of their grant.
+        release: The keys and the fence.
         seconds: Timeout of the request.
 
     Returns:
