Bind each write of a table to the term of its coordinator

Found by review; callers: none were seen. Cause: the condition of a write was made in its task, with the term of that moment. A term that had ended by then gave the condition that nobody leads, which holds, so that the table was written without a term. Change: the condition names the coordinator's term. Evidence: test_write_of_an_ended_term_is_refused failed before.

--- a/src/jujubeyard/ownership/leader.py
+++ b/src/jujubeyard/ownership/leader.py
@@ -91,10 +91,6 @@
         self._next_fence += 1
         return self.term * FENCES_PER_TERM + self._next_fence
 
-    def leader_condition(self) -> interface.Condition:
-        """Returns the condition that fails a write if this term has ended."""
-        return interface.Condition(self._key, self.term)
-
     def observe(self, item: interface.Item) -> None:
         """Handles a change of the leader item in the store."""
         if item.value is None:
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -22,6 +22,7 @@
 from jujubeyard.ownership import planner
 from jujubeyard.ownership import table
 from jujubeyard.ownership import target_requests
+from jujubeyard.store import interface
 
 SETTLE_SECONDS = 2.0
 """Time without a newly joined target before the first table is created."""
@@ -484,7 +485,7 @@
         try:
             result = await self._client.write_table(
                 table.ShardTable(self.service, shards, self._table.revision),
-                self._leadership.leader_condition(),
+                interface.Condition(self._leadership.key, self._term),
             )
         finally:
             self._is_writing = False
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -545,6 +545,21 @@
     assert _waiting_grants(target) == []
 
 
+async def test_write_of_an_ended_term_is_refused(harness):
+    harness.add_targets("a", "b")
+    await harness.lead()
+    await harness.run(5.0)
+    revision = (await harness.coordinator._client.read_table(SERVICE)).revision
+    harness.remove_candidate("a")
+    harness.coordinator._start_write(harness.tables[-1].shards, {})
+    harness.store.expire(harness.leadership._lease)
+    harness.leadership._end_term("the lease no longer exists")
+    for _ in range(8):
+        await REAL_SLEEP(0)
+    stored = await harness.coordinator._client.read_table(SERVICE)
+    assert stored.revision == revision
+
+
 @pytest.mark.parametrize("stall_seconds", [0.5, 1.0, 2.0, 5.0])
 async def test_grant_that_stalled_is_not_sent_after_its_hold_was_reckoned(
     harness, stall_seconds
