Ask both processes of an address before its keys move on

What callers saw: two targets held the same keys after another process had taken over an address while the earlier one still served the connections that it had. A release reached the new process only, over a new connection; renewals reached the old one over the kept connections, so that both held keys.

Cause: the coordinator treats "the address" as one process.

Change: a release to an owner that is no candidate any more goes over a kept connection and a new one, and both have to reply. The first grant to another owner at an address gives up the connections made before, so that it reaches the process that the owner's entry speaks of.

What is left: grants over new connections before the entry of the next life has been read.

--- a/soak/core.py
+++ b/soak/core.py
@@ -171,7 +171,8 @@
 async def _inject_faults(
     ctx: faults.FaultContext, seconds: float, only
 ) -> None:
-    candidates = [faults.ALL[name] for name in only or faults.ALL]
+    known = faults.ALL | faults.ONLY_BY_NAME
+    candidates = [known[name] for name in only or faults.ALL]
     end = time.monotonic() + seconds
     started: dict[asyncio.Task, faults.Fault] = {}
     while time.monotonic() < end:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -519,6 +519,8 @@
     **dict.fromkeys(_STORE_FAULTS, _STORE_FAULTS),
     grow_configuration: frozenset({grow_configuration, change_configuration}),
     change_configuration: frozenset({grow_configuration}),
+    slow_node: frozenset({freeze_node}),
+    freeze_node: frozenset({slow_node}),
 }
 """Faults beside which a fault isn't started."""
 
@@ -551,3 +553,6 @@
         restart_target,
     )
 }
+
+ONLY_BY_NAME: dict[str, Fault] = {hand_over_address.__name__: hand_over_address}
+"""Faults that are not drawn: the platform says that they don't happen."""
--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -74,6 +74,9 @@
 
     Attributes:
         call_id_header: Header with the ID of a call, in requests and answers.
+        peer_address: Address of the peer ("IP:PORT"); empty before there is a
+            connection.
+        made_at: When the connection was begun, in the time of the event loop.
         was_reset: Whether the connection was reset, by either side, instead of
             closed.
     """
@@ -84,7 +87,8 @@
         super().__init__(loop)
         self.call_id_header = call_id_header
         self._loss_tracker = loss_tracker
-        self._peer_address = ""
+        self.peer_address = ""
+        self.made_at = loop.time()
         self._expected_call_id: str | None = None
         self._is_out_of_sync = False
         self._is_reader_slow = False
@@ -99,8 +103,8 @@
         transport.max_size = RECEIVE_BUFFER_BYTES
         super().connection_made(transport)
         host, port = transport.get_extra_info("peername")[:2]
-        self._peer_address = f"{host}:{port}"
-        self._loss_tracker.add(self._peer_address)
+        self.peer_address = f"{host}:{port}"
+        self._loss_tracker.add(self.peer_address)
 
     def begin_call(self) -> None:
         """Prepares for the next call and its answer."""
@@ -220,7 +224,7 @@
         self.was_reset |= exc is not None
         is_closed_by_peer = self.transport is not None
         super().connection_lost(exc)
-        self._loss_tracker.remove(self._peer_address, is_closed_by_peer)
+        self._loss_tracker.remove(self.peer_address, is_closed_by_peer)
 
 
 def _may_begin_answer(status: int) -> bool:
@@ -274,16 +278,29 @@
         loop = self._loop
         tracker = loss_tracker or losses.LossTracker()
         self._factory = lambda: ResponseProtocol(loop, call_id_header, tracker)
+        self._usable_since: dict[str, float] = {}
+
+    def replace_connections(self, address: str) -> None:
+        """Lets requests to an address use only connections that are made later.
+
+        Args:
+            address: Address of a peer ("IP:PORT").
+        """
+        self._usable_since[address] = self._loop.time()
 
     async def connect(self, req, traces, timeout):
         """Returns a connection that is safe to use for a request."""
         while True:
             conn = await super().connect(req, traces, timeout)
-            if not conn.protocol.should_close:
+            if self._may_use(conn.protocol):
                 conn.protocol.begin_call()
                 return conn
             conn.close()
 
+    def _may_use(self, proto: ResponseProtocol) -> bool:
+        usable_since = self._usable_since.get(proto.peer_address, 0.0)
+        return not proto.should_close and proto.made_at >= usable_since
+
     async def _create_connection(self, req, traces, timeout):
         """Returns a new connection that its peer hasn't reset at once.
 
--- a/src/jujubeyard/ownership/ownership_client.py
+++ b/src/jujubeyard/ownership/ownership_client.py
@@ -85,6 +85,7 @@
         self._table_key = table_key
         self._publish = publish
         self._log = log
+        self._granted_owners: dict[str, table.Owner] = {}
 
     def log_event(self, event: str, **fields) -> None:
         """Logs an event.
@@ -108,12 +109,16 @@
             request: The grant request.
             seconds: Timeout.
         """
+        self._use_connections_of(request.target)
         return await target_requests.send_request(
             self._target_client.grant, self._session, request, seconds
         )
 
     async def release(
-        self, request: target_requests.ReleaseRequest, seconds: float
+        self,
+        request: target_requests.ReleaseRequest,
+        seconds: float,
+        may_be_replaced: bool = False,
     ) -> target_requests.Result:
         """Asks a target to release keys.
 
@@ -122,11 +127,42 @@
         Args:
             request: The release request.
             seconds: Timeout.
+            may_be_replaced: Whether another process may serve the target's
+                address by now, while the earlier one still serves the
+                connections that it has. Both are asked.
         """
+        if not may_be_replaced:
+            return await self._release(self._fresh_session, request, seconds)
+        kept = await self._release(self._session, request, seconds)
+        if kept.outcome is target_requests.Outcome.UNKNOWN:
+            return kept
+        fresh = await self._release(self._fresh_session, request, seconds)
+        if kept.reply is None or fresh.reply is None:
+            return fresh
+        handover = kept.reply.handover or fresh.reply.handover
+        reply = dataclasses.replace(fresh.reply, handover=handover)
+        return dataclasses.replace(fresh, reply=reply)
+
+    async def _release(
+        self,
+        session: aiohttp.ClientSession,
+        request: target_requests.ReleaseRequest,
+        seconds: float,
+    ) -> target_requests.Result:
         return await target_requests.send_request(
-            self._target_client.release, self._fresh_session, request, seconds
+            self._target_client.release, session, request, seconds
         )
 
+    def _use_connections_of(self, owner: table.Owner) -> None:
+        """Gives up connections to an address that another owner had before.
+
+        They may lead to the process of the earlier one.
+        """
+        earlier = self._granted_owners.get(owner.address, owner)
+        self._granted_owners[owner.address] = owner
+        if earlier != owner:
+            self._session.connector.replace_connections(owner.address)
+
     async def check(
         self, request: target_requests.ReleaseRequest, seconds: float
     ) -> target_requests.Result:
@@ -136,9 +172,8 @@
             request: The release request.
             seconds: Timeout.
         """
-        return await target_requests.send_request(
-            self._target_client.release, self._session, request, seconds
-        )
+        self._use_connections_of(request.target)
+        return await self._release(self._session, request, seconds)
 
     async def probe(
         self, service: str, owner: table.Owner
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -416,6 +416,7 @@
             if proof is evidence.Evidence.OTHER_TARGET:
                 self._record_end(shard.owner, "release", result)
                 continue
+            remaining = hold.until - clock.boottime()
             await asyncio.sleep(min(PROBE_SECONDS, max(remaining, 0.01)))
 
     async def _send_release(
@@ -426,11 +427,17 @@
     ) -> target_requests.Result:
         record.attempts += 1
         record.sent_at, record.answered_at = clock.boottime(), None
-        result = await self._client.release(request, seconds)
+        result = await self._client.release(
+            request, seconds, not self._is_candidate(request.target)
+        )
         if result.reply is not None:
             record.answered_at = clock.boottime()
         return result
 
+    def _is_candidate(self, owner: table.Owner) -> bool:
+        candidates = self._cluster_state.candidates(self.service)
+        return any(candidate.owner == owner for candidate in candidates)
+
     def _write_freed(self, candidates) -> None:
         """Starts to write the new owners of the freed shards to the table."""
         if not self._freed or not candidates or not self._may_write():
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -85,6 +85,69 @@
         assert len(server.requests) == earlier_count + 1
 
 
+class Life:
+    """A process that serves an address until it stops to accept connections."""
+
+    def __init__(self, name):
+        self.name = name
+        self.paths = []
+
+    async def start(self, port=0):
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop_accepting(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            self.paths.append(head.split()[1].decode())
+            length = int(head.lower().split(b"content-length: ")[1].split()[0])
+            await reader.readexactly(length)
+            writer.write(CONFIRMATION.replace(b"h1", self.name))
+
+
+@pytest.fixture
+async def lives(client):
+    """Two processes; the later one serves new connections to the address."""
+    earlier, later = Life(b"earlier"), Life(b"later")
+    await earlier.start()
+    assert await _request(client, f"127.0.0.1:{earlier.port}", "grant") is DONE
+    earlier.stop_accepting()
+    await later.start(earlier.port)
+    yield earlier, later
+    later.stop_accepting()
+
+
+@pytest.mark.parametrize(
+    ("may_be_replaced", "paths", "handover"),
+    [(False, ["/grant"], "later"), (True, ["/grant", "/release"], "earlier")],
+)
+async def test_release_reaches_the_process_that_kept_its_connections(
+    client, lives, may_be_replaced, paths, handover
+):
+    earlier, later = lives
+    owner = table.Owner("t1", 1, f"127.0.0.1:{later.port}")
+    release = target_requests.ReleaseRequest(owner, 0, 9, 2)
+    result = await client.release(release, 1.0, may_be_replaced)
+    assert result.outcome is DONE
+    assert result.reply.handover == handover
+    assert (earlier.paths, later.paths) == (paths, ["/release"])
+
+
+async def test_grants_to_the_next_life_leave_the_connections_of_the_earlier(
+    client, lives
+):
+    earlier, later = lives
+    owner = table.Owner("t1", 2, f"127.0.0.1:{later.port}")
+    send_by = clock.boottime() + 1.0
+    grant = target_requests.GrantRequest(owner, 0, 9, 2, 1.0, "", send_by)
+    assert (await client.grant(grant, 1.0)).outcome is DONE
+    assert (earlier.paths, later.paths) == (["/grant"], ["/grant"])
+
+
 async def test_refusal_written_once_more_does_not_prove_that_an_owner_is_gone(
     client,
 ):
--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -199,6 +199,16 @@
         return target_requests.Reply(200, "h", None)
 
 
+class FakeSession:
+    """A session whose connections are never made."""
+
+    class Connector:
+        def replace_connections(self, address: str) -> None:
+            del address
+
+    connector = Connector()
+
+
 class FakeTargetClient:
     """Sends grant and release requests to fake targets.
 
