Ask both processes of an address only if it is another's, and at once

Cause: "no candidate" was taken for "replaced", and the two requests each had the whole time.

Change: both are asked only if another target is listed at the address, and at the same time.

--- a/src/jujubeyard/connections.py
+++ b/src/jujubeyard/connections.py
@@ -76,7 +76,7 @@
         call_id_header: Header with the ID of a call, in requests and answers.
         peer_address: Address of the peer ("IP:PORT"); empty before there is a
             connection.
-        made_at: When the connection was begun, in the time of the event loop.
+        made_at: When the connection was made, in the time of the event loop.
         was_reset: Whether the connection was reset, by either side, instead of
             closed.
     """
--- a/src/jujubeyard/node/placement_inputs.py
+++ b/src/jujubeyard/node/placement_inputs.py
@@ -58,6 +58,14 @@
             for target in warm
         ]
 
+    def is_replaced(self, service: str, owner: table.Owner) -> bool:
+        """Returns whether an owner's address has become that of another."""
+        owners = map(make_owner, self._view.registry.service_targets(service))
+        return any(
+            other.address == owner.address and other != owner
+            for other in owners
+        )
+
     def joined_at(self, service: str) -> float:
         """Returns when a target of a service was last added, in boot time."""
         listed_at = [
--- a/src/jujubeyard/ownership/ownership_client.py
+++ b/src/jujubeyard/ownership/ownership_client.py
@@ -1,5 +1,6 @@
 """Sends requests to targets, and reads and writes stored shard tables."""
 
+import asyncio
 import collections.abc
 import dataclasses
 import typing
@@ -70,7 +71,7 @@
             session: HTTP session for grants and health checks.
             fresh_session: HTTP session for releases, which makes a connection
                 for each, so that no earlier reply of the target is taken for
-                the confirmation of a release.
+                the confirmation of a release. None is confirmed without one.
             target_client: Speaks the targets' protocol.
             table_key: Returns the key of a service's table in the store.
             publish: Publishes a stored table to this and all other nodes.
@@ -109,7 +110,7 @@
             request: The grant request.
             seconds: Timeout.
         """
-        self._use_connections_of(request.target)
+        self._discard_connections_before(request.target)
         return await target_requests.send_request(
             self._target_client.grant, self._session, request, seconds
         )
@@ -118,27 +119,27 @@
         self,
         request: target_requests.ReleaseRequest,
         seconds: float,
-        may_be_replaced: bool = False,
+        is_replaced: bool = False,
     ) -> target_requests.Result:
         """Asks a target to release keys.
 
-        The target replies once the calls that run on these keys have ended.
+        The reply comes once calls on these keys have ended.
 
         Args:
             request: The release request.
             seconds: Timeout.
-            may_be_replaced: Whether another process may serve the target's
-                address by now, while the earlier one still serves the
-                connections that it has. Both are asked.
+            is_replaced: Whether another process serves the target's address by
+                now. The earlier one may still serve the connections that it
+                has, so that one of these is asked as well, if there is one.
         """
-        if not may_be_replaced:
+        if not is_replaced:
             return await self._release(self._fresh_session, request, seconds)
-        kept = await self._release(self._session, request, seconds)
-        if kept.outcome is target_requests.Outcome.UNKNOWN:
-            return kept
-        fresh = await self._release(self._fresh_session, request, seconds)
+        kept, fresh = await asyncio.gather(
+            self._release(self._session, request, seconds),
+            self._release(self._fresh_session, request, seconds),
+        )
         if kept.reply is None or fresh.reply is None:
-            return fresh
+            return kept if kept.reply is None else fresh
         handover = kept.reply.handover or fresh.reply.handover
         reply = dataclasses.replace(fresh.reply, handover=handover)
         return dataclasses.replace(fresh, reply=reply)
@@ -153,7 +154,7 @@
             self._target_client.release, session, request, seconds
         )
 
-    def _use_connections_of(self, owner: table.Owner) -> None:
+    def _discard_connections_before(self, owner: table.Owner) -> None:
         """Gives up connections to an address that another owner had before.
 
         They may lead to the process of the earlier one.
@@ -172,7 +173,7 @@
             request: The release request.
             seconds: Timeout.
         """
-        self._use_connections_of(request.target)
+        self._discard_connections_before(request.target)
         return await self._release(self._session, request, seconds)
 
     async def probe(
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -112,6 +112,9 @@
     def candidates(self, service: str) -> list[planner.Candidate]:
         """Returns the targets that may own keys."""
 
+    def is_replaced(self, service: str, owner: table.Owner) -> bool:
+        """Returns whether an owner's address has become that of another."""
+
     def joined_at(self, service: str) -> float:
         """Returns when the most recent target joined, in boot time."""
 
@@ -427,17 +430,14 @@
     ) -> target_requests.Result:
         record.attempts += 1
         record.sent_at, record.answered_at = clock.boottime(), None
-        result = await self._client.release(
-            request, seconds, not self._is_candidate(request.target)
+        is_replaced = self._cluster_state.is_replaced(
+            self.service, request.target
         )
+        result = await self._client.release(request, seconds, is_replaced)
         if result.reply is not None:
             record.answered_at = clock.boottime()
         return result
 
-    def _is_candidate(self, owner: table.Owner) -> bool:
-        candidates = self._cluster_state.candidates(self.service)
-        return any(candidate.owner == owner for candidate in candidates)
-
     def _write_freed(self, candidates) -> None:
         """Starts to write the new owners of the freed shards to the table."""
         if not self._freed or not candidates or not self._may_write():
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -122,16 +122,16 @@
 
 
 @pytest.mark.parametrize(
-    ("may_be_replaced", "paths", "handover"),
+    ("is_replaced", "paths", "handover"),
     [(False, ["/grant"], "later"), (True, ["/grant", "/release"], "earlier")],
 )
 async def test_release_reaches_the_process_that_kept_its_connections(
-    client, lives, may_be_replaced, paths, handover
+    client, lives, is_replaced, paths, handover
 ):
     earlier, later = lives
     owner = table.Owner("t1", 1, f"127.0.0.1:{later.port}")
     release = target_requests.ReleaseRequest(owner, 0, 9, 2)
-    result = await client.release(release, 1.0, may_be_replaced)
+    result = await client.release(release, 1.0, is_replaced)
     assert result.outcome is DONE
     assert result.reply.handover == handover
     assert (earlier.paths, later.paths) == (paths, ["/release"])
--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -287,6 +287,12 @@
             planner.Candidate(owner, 1.0) for owner in self.available_owners
         ]
 
+    def is_replaced(self, service: str, owner: table.Owner) -> bool:
+        return any(
+            other.address == owner.address and other != owner
+            for other in self.available_owners
+        )
+
     def joined_at(self, service: str) -> float:
         return float("-inf")
 
