Grant a sole owner its keys while they can go to nobody else

A busy target that alone had keys could lose all of them: its check is a health check, which waits for room like any request, and was given up after 0.4 s.

Change: the check is left out while no other target is a candidate, since a grant that waits there then meets no second holder. With another candidate it is asked for as before; keys move there within seconds.

What remains: a sole owner that is suspended when another target joins within its last grant.

--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -643,7 +643,9 @@
     async def _check_owner(self, owner: table.Owner) -> bool:
         """Returns whether an owner's process replies to a request.
 
-        That is a health check while no other target has keys.
+        That is a health check while no other target has keys. It may wait for
+        room at a busy owner, so that it is left out while there is no target
+        that the keys could move to.
         """
         settled = [
             shard
@@ -651,6 +653,8 @@
             if shard.first not in self._destinations
         ]
         request = liveness_check.make_check(owner, settled)
+        if request is None and not self._has_other_candidate(owner):
+            return True
         if request is None:
             result = await self._client.probe(self.service, owner)
         else:
@@ -659,6 +663,10 @@
             )
         return self._handle_check_result(owner, result)
 
+    def _has_other_candidate(self, owner: table.Owner) -> bool:
+        candidates = self._cluster_state.candidates(self.service)
+        return any(candidate.owner != owner for candidate in candidates)
+
     def _handle_check_result(
         self, owner: table.Owner, result: target_requests.Result
     ) -> bool:
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -523,6 +523,21 @@
     assert _waiting_grants(suspended) == []
 
 
+async def test_busy_owner_keeps_its_keys_while_they_can_go_to_nobody(harness):
+    harness.add_targets("a")
+    await harness.lead()
+    await harness.run(5.0)
+
+    async def wait_for_room(session, service, owner):
+        del session, service, owner
+        return target_requests.Result(target_requests.Outcome.UNKNOWN)
+
+    harness.target_client.probe = wait_for_room
+    for _ in range(50):
+        await harness.run(0.2)
+        harness.assert_all_keys_held()
+
+
 @pytest.mark.parametrize("age", [0.1, 0.3, 0.6])
 async def test_no_grant_follows_a_check_that_was_answered_long_ago(
     harness, age
