Pause before a grant whose check failed oddly is tried again

What callers saw: nothing; found by the review. A check that raises what nobody expects was repeated at nearly every tick of the coordinator, 94 times in 3 s in the test's harness, since only a grant that is sent sets when its renewal is due. Now each start of a grant puts the next one 0.1 s off. The test allows 60.

--- a/src/jujubeyard/ownership/holds.py
+++ b/src/jujubeyard/ownership/holds.py
@@ -7,6 +7,9 @@
 from jujubeyard.ownership import table
 
 RENEW_SECONDS = 0.9
+RETRY_SECONDS = 0.1
+"""Shortest pause until a grant that could not be sent is tried again."""
+
 RENEWALS_PER_SECOND = 150.0
 """Maximum rate of renewals per service.
 
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -579,6 +579,7 @@
     def _start_grant(
         self, shard: table.Shard, hold: holds.Hold
     ) -> asyncio.Task:
+        hold.renew_at = clock.boottime() + holds.RETRY_SECONDS
         hold.grant_task = self._start_task(self._grant(shard))
         return hold.grant_task
 
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -538,6 +538,22 @@
         harness.assert_all_keys_held()
 
 
+async def test_check_that_fails_oddly_is_not_repeated_at_once(harness):
+    harness.add_targets("a", "b")
+    await harness.lead()
+    await harness.run(5.0)
+    checks = []
+
+    async def fail(session, request, seconds):
+        del session, seconds
+        checks.append(request)
+        raise ValueError
+
+    harness.target_client.release = fail
+    await harness.run(3.0)
+    assert len(checks) <= 2 * 3.0 / holds.RETRY_SECONDS
+
+
 @pytest.mark.parametrize("age", [0.1, 0.3, 0.6])
 async def test_no_grant_follows_a_check_that_was_answered_long_ago(
     harness, age
