--- a/src/jujubeyard/ownership/ownership_client.py
+++ b/src/jujubeyard/ownership/ownership_client.py
@@ -71,7 +71,7 @@
             session: HTTP session for grants and health checks.
             fresh_session: HTTP session for releases, which makes a connection
                 for each, so that no earlier reply of the target is taken for
-                the confirmation of a release. None is confirmed without one.
+                the confirmation of a release.
             target_client: Speaks the targets' protocol.
             table_key: Returns the key of a service's table in the store.
             publish: Publishes a stored table to this and all other nodes.
