--- a/soak/targets.py
+++ b/soak/targets.py
@@ -68,7 +68,8 @@
     @property
     def is_up(self) -> bool:
         """Whether its process runs."""
-        return self.life.ended_at == float("inf")
+        is_started = self._process is not None
+        return is_started and self.life.ended_at == float("inf")
 
     async def start(self) -> None:
         """Starts the process, and waits until it serves requests.
