Log and count the eras of the store

Whether the store went back, lost its history or was only away could not be told from a node's lines, since nothing reads the header `Store-Era`.

The adapter now passes on the era that each answer names; `store era known` and `store went back` say when a newer one is learned, `store read` and `table read for term` name the revisions before and after, and two metrics show the era. No decision depends on it yet.

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -36,6 +36,7 @@
 from jujubeyard.platform import headers
 from jujubeyard.platform import store
 from jujubeyard.platform import target_client
+from jujubeyard.store import eras
 from jujubeyard.store import health
 from jujubeyard.store import mirror
 
@@ -177,11 +178,14 @@
         self._release_session = connections.make_session(
             header_names.call_id, force_close=True
         )
+        self._era_tracker = eras.EraTracker(log)
+        self._metrics.watch_eras(self._era_tracker)
         self._store = store.PlatformStore(
             str(cfg.store),
             self._store_session,
             STORE_CALL_TIMEOUT_SECONDS,
             STORE_READ_TIMEOUT_SECONDS,
+            self._era_tracker,
         )
         self._leadership = leader.Leadership(
             self._store, prefixes.fleet, str(cfg.reports), log
--- a/src/jujubeyard/node/metrics.py
+++ b/src/jujubeyard/node/metrics.py
@@ -10,6 +10,7 @@
 from jujubeyard.ownership import evidence
 from jujubeyard.routing import config
 from jujubeyard.scheduling import tracking
+from jujubeyard.store import eras
 
 LATENCY_BUCKETS_SECONDS = (
     0.01,
@@ -274,6 +275,21 @@
         """
         self._ended_holds.child(service, proof.value).inc()
 
+    def watch_eras(self, era_tracker: eras.EraTracker) -> None:
+        """Exposes the era of the store and how often it has gone back."""
+        era = prometheus_client.Gauge(
+            "jujubeyard_store_era",
+            "Era of the store; 0 if the store doesn't tell it.",
+            registry=self.registry,
+        )
+        era.set_function(lambda: era_tracker.current)
+        changes = prometheus_client.Gauge(
+            "jujubeyard_store_returns",
+            "Times that the store came back from an older copy.",
+            registry=self.registry,
+        )
+        changes.set_function(lambda: era_tracker.changes)
+
     def watch_unreadable(
         self,
         count: collections.abc.Callable[
--- a/src/jujubeyard/node/tasks.py
+++ b/src/jujubeyard/node/tasks.py
@@ -171,6 +171,13 @@
             stored = await self._client.read_table(service)
             if stored is None or self._leadership.term != self._term:
                 return
+            known = self._view.tables.get(service)
+            self._client.log_event(
+                "table read for term",
+                service=service,
+                revision=stored.revision,
+                known_revision=known.revision if known else 0,
+            )
             self._view.apply_table(stored)
             coordinator = shard_coordinator.ShardCoordinator(
                 service,
--- a/src/jujubeyard/platform/store.py
+++ b/src/jujubeyard/platform/store.py
@@ -16,10 +16,12 @@
 from jujubeyard import errors
 from jujubeyard import fields
 from jujubeyard.platform import documents
+from jujubeyard.store import eras
 from jujubeyard.store import interface
 
 T = typing.TypeVar("T")
 HTTP_OK = 200
+ERA_HEADER = "Store-Era"
 ANSWER_SILENCE_SECONDS = 1.0
 """Longest pause within an answer. Its whole transfer may take longer, as that
 of a large configuration does on a slow link."""
@@ -57,6 +59,7 @@
         session: aiohttp.ClientSession,
         call_seconds: float,
         read_seconds: float,
+        era_tracker: eras.EraTracker | None = None,
     ):
         """Initializes the client.
 
@@ -66,7 +69,10 @@
             call_seconds: Time until the answer to a call begins to arrive.
             read_seconds: That time for reads of all items, and for watches
                 once their duration is over.
+            era_tracker: Is told the era that each answer names; None to ignore
+                it.
         """
+        self._era_tracker = era_tracker
         self._base = f"http://{address}"
         self._session = session
         self._call_seconds = call_seconds
@@ -226,6 +232,7 @@
                     timeout=client_timeout,
                 ) as resp,
             ):
+                self._observe_era(resp)
                 reply = await _read_body(
                     resp, limit, transfer or interface.Transfer(), max_bytes
                 )
@@ -245,6 +252,12 @@
         except errors.FormatError as exc:
             return _make_failure(interface.FailureKind.UNKNOWN, exc.message)
 
+    def _observe_era(self, resp: aiohttp.ClientResponse) -> None:
+        """Passes on the era of the store that an answer names, if it does."""
+        era = resp.headers.get(ERA_HEADER, "")
+        if self._era_tracker is not None and era.isdecimal():
+            self._era_tracker.observe(int(era), eras.Source.STORE)
+
 
 async def _read_body(
     resp: aiohttp.ClientResponse,
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -186,6 +186,13 @@
         self._current_at = attempt.started_at
         self._listener.apply_snapshot(self.prefix, items, age)
         self.revision = attempt.outcome.ok_value.revision
+        self._log.log_event(
+            "store read",
+            prefix=self.prefix,
+            revision=self.revision,
+            latest_before=self.latest_revision,
+            items=len(items),
+        )
         self._update_latest_revision(items)
 
     def _send_read(self, _: bool) -> hedging.Attempt:
