Let the stand-in store come back from an older copy, and play it in the soak

The stand-in takes a copy each 0.2 s. A drill resets all calls for 0.2 to 3 s and goes on from a copy 0.5 to 8 s old: items, revisions, events and the count of leases; in 3 of 10 with the copy's leases, else without any. Its era, in each answer, rises by one. What operator and targets had written is written again after 0.1 to 0.6 s; entries of targets that are gone run out after 1.5 s. The soak has it as `return_store` and `return_store_twice`, by name only until nodes bear it. A node's write of the same value now takes effect (a new lease, a new revision); before it was dropped. test_faults.py looks at the zone's item by its value instead of a field of the store that moved.

--- a/platform_standins/documents.py
+++ b/platform_standins/documents.py
@@ -155,3 +155,5 @@
 
 
 CONFIGURATION_KEY = documents.CONFIGURATION_KEY
+OPERATOR_PREFIX = documents.OPERATOR_PREFIX
+TARGET_PREFIX = documents.TARGET_PREFIX
--- a/platform_standins/store.py
+++ b/platform_standins/store.py
@@ -12,9 +12,11 @@
 from aiohttp import web
 
 from jujubeyard import durations
+from platform_standins import contents
 
 EXPIRY_TICK_SECONDS = 0.05
 MAX_PAGE_ITEMS = 500
+ERA_HEADER = "Store-Era"
 RESERVED_PREFIXES = ("op/", "servers/")
 LATE_WRITE_SECONDS = (0.5, 3.0)
 """Shortest and longest delay of a write that is applied after its connection
@@ -60,37 +62,22 @@
         return self.mode is not Mode.NORMAL and self.nodes is None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Item:
-    value: bytes
-    revision: int
-    created_revision: int
-    lease: int
-
-
-@dataclasses.dataclass(slots=True)
-class _Lease:
-    seconds: float
-    expires_at: float
-
-
 class Store:
     """In-memory key-value store with compare-and-swap, leases and watches.
 
     Attributes:
         faults: Faults in force.
+        era: Number of times that it came back from a copy, from 1.
     """
 
     def __init__(self, rng: random.Random):
         self.faults = Faults()
+        self.era = 1
         self._rng = rng
-        self._items: dict[str, _Item] = {}
-        self._events: list[tuple[str, int]] = []
-        self._removed_revisions: dict[str, int] = {}
-        self._revision = 1
-        self._compacted_revision = 0
-        self._leases: dict[int, _Lease] = {}
-        self._last_lease_id = 0
+        self._contents = contents.Contents()
+        self._copies = contents.Copies()
+        self._copies.take(self._contents, time.monotonic())
+        self._written_outside: dict[str, bytes | None] = {}
         self._changed = asyncio.Event()
         self._late_writes: set[asyncio.Task] = set()
         self._ticked_at = time.monotonic()
@@ -116,35 +103,78 @@
     # Methods for the operator and the targets. They ignore the faults, which
     # the caller has to check.
 
-    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+    def put(self, key: str, value: bytes) -> None:
         """Writes an item, unless it has this value already."""
-        current = self._items.get(key)
-        if current is not None and current.value == value:
-            return
-        self._revision += 1
-        created = current.created_revision if current else self._revision
-        self._items[key] = _Item(value, self._revision, created, lease)
+        self._written_outside[key] = value
+        if self.value(key) != value:
+            self._put(key, value, lease=0)
+
+    def _put(self, key: str, value: bytes, lease: int) -> None:
+        current = self._contents.items.get(key)
+        self._contents.revision += 1
+        created = (
+            current.created_revision if current else self._contents.revision
+        )
+        self._contents.items[key] = contents.Item(
+            value, self._contents.revision, created, lease
+        )
         self._record_change(key)
 
     def remove(self, key: str) -> None:
         """Removes an item."""
-        if self._items.pop(key, None) is None:
+        self._written_outside[key] = None
+        self._remove(key)
+
+    def _remove(self, key: str) -> None:
+        if self._contents.items.pop(key, None) is None:
             return
-        self._revision += 1
-        self._removed_revisions[key] = self._revision
+        self._contents.revision += 1
+        self._contents.removed_revisions[key] = self._contents.revision
         self._record_change(key)
 
     def value(self, key: str) -> bytes:
         """Returns the value of an item; empty if there is none."""
-        item = self._items.get(key)
+        item = self._contents.items.get(key)
         return item.value if item else b""
 
     def compact_history(self) -> None:
         """Discards the history, so that older watches fail."""
-        self._compacted_revision = self._revision
-        self._events.clear()
+        self._contents.compacted_revision = self._contents.revision
+        self._contents.events.clear()
         self._wake()
 
+    def go_back(self, seconds: float, keeps_leases: bool) -> None:
+        """Goes back to a copy; a new era begins.
+
+        Args:
+            seconds: Age of the copy.
+            keeps_leases: Whether the leases of the copy go on. Otherwise they
+                are gone, with their items.
+        """
+        now = time.monotonic()
+        copied_at, self._contents = self._copies.take_back(now - seconds)
+        self.era += 1
+        if keeps_leases:
+            self._contents.renew_leases(now - copied_at)
+        else:
+            for lease_id in list(self._contents.leases):
+                self._drop_lease(lease_id)
+        self._wake()
+
+    def write_again(self, prefix: str) -> None:
+        """Writes again what the operator and targets wrote before.
+
+        Args:
+            prefix: Prefix of the keys.
+        """
+        for key, value in list(self._written_outside.items()):
+            if not key.startswith(prefix):
+                continue
+            if value is None:
+                self._remove(key)
+            else:
+                self.put(key, value)
+
     def clear_faults(self) -> None:
         """Ends all faults and wakes waiting calls."""
         self.faults = Faults()
@@ -161,18 +191,19 @@
             now = time.monotonic()
             elapsed, self._ticked_at = now - self._ticked_at, now
             if self.faults.is_down() and not self.faults.leases_expire:
-                for lease in self._leases.values():
-                    lease.expires_at += elapsed
+                self._contents.renew_leases(elapsed)
+            if not self.faults.is_down():
+                self._copies.take(self._contents, now)
             expired = [
                 lease_id
-                for lease_id, lease in self._leases.items()
+                for lease_id, lease in self._contents.leases.items()
                 if lease.expires_at < now
             ]
             for lease_id in expired:
                 self._drop_lease(lease_id)
 
     def _record_change(self, key: str) -> None:
-        self._events.append((key, self._revision))
+        self._contents.events.append((key, self._contents.revision))
         self._wake()
 
     def _wake(self) -> None:
@@ -187,7 +218,9 @@
             if self.faults.delay_seconds:
                 await asyncio.sleep(self.faults.delay_seconds)
             failure = await self._apply_mode(node, req)
-            return failure or await handler(node, req)
+            resp = failure or await handler(node, req)
+            resp.headers[ERA_HEADER] = str(self.era)
+            return resp
 
         return wrapped
 
@@ -215,14 +248,16 @@
 
     async def _read(self, _: str, req: web.Request) -> web.Response:
         key = req.query["key"]
-        if key not in self._items:
+        if key not in self._contents.items:
             return self._reply({}, status=404)
         return self._reply(self._describe(key))
 
     async def _read_all(self, _: str, req: web.Request) -> web.Response:
         prefix, after = req.query["prefix"], req.query.get("after", "")
         keys = sorted(
-            key for key in self._items if key.startswith(prefix) and key > after
+            key
+            for key in self._contents.items
+            if key.startswith(prefix) and key > after
         )
         items = [self._describe(key) for key in keys[:MAX_PAGE_ITEMS]]
         return self._reply(
@@ -234,7 +269,7 @@
         seconds = int(req.query["waitMs"]) / durations.MILLISECONDS_PER_SECOND
         deadline = time.monotonic() + seconds
         while True:
-            if after < self._compacted_revision:
+            if not self._has_history(after):
                 return self._reply({}, status=410)
             if self._mode_for(node) is not Mode.NORMAL:
                 return await self._apply_mode(node, req) or _reset(req)
@@ -247,10 +282,15 @@
             except TimeoutError:
                 continue
 
+    def _has_history(self, after: int) -> bool:
+        """Returns whether all changes after a revision are known."""
+        current = self._contents
+        return current.compacted_revision <= after <= current.revision
+
     def _events_after(self, prefix: str, after: int) -> list[dict]:
         latest = {
             key: revision
-            for key, revision in self._events
+            for key, revision in self._contents.events
             if revision > after and key.startswith(prefix)
         }
         return [self._describe(key) for key in latest]
@@ -278,51 +318,59 @@
         puts = document["puts"]
         if any(put["key"].startswith(RESERVED_PREFIXES) for put in puts):
             return self._reply({}, status=403)
-        if any(put["lease"] not in {0, *self._leases} for put in puts):
+        if any(put["lease"] not in {0, *self._contents.leases} for put in puts):
             return self._reply({}, status=404)
         for condition in expected:
-            current = self._items.get(condition["key"])
+            current = self._contents.items.get(condition["key"])
             if (current.revision if current else 0) != condition["revision"]:
                 return self._reply({"items": []}, status=412)
         for put in puts:
-            self.put(put["key"], base64.b64decode(put["value"]), put["lease"])
+            self._put(put["key"], base64.b64decode(put["value"]), put["lease"])
         for key in document["deletes"]:
-            self.remove(key)
-        return self._reply({"revision": self._revision})
+            self._remove(key)
+        return self._reply({"revision": self._contents.revision})
 
     async def _open_lease(self, _: str, req: web.Request) -> web.Response:
         seconds = durations.parse_seconds((await req.json())["ttl_time"])
-        self._last_lease_id += 1
+        self._contents.last_lease_id += 1
         expires_at = time.monotonic() + seconds
-        self._leases[self._last_lease_id] = _Lease(seconds, expires_at)
-        return self._reply({"lease": self._last_lease_id})
+        self._contents.leases[self._contents.last_lease_id] = contents.Lease(
+            seconds, expires_at
+        )
+        return self._reply({"lease": self._contents.last_lease_id})
 
     async def _renew_lease(self, _: str, req: web.Request) -> web.Response:
-        lease = self._leases.get(int(req.match_info["lease"]))
+        lease = self._contents.leases.get(int(req.match_info["lease"]))
         if lease is None:
             return self._reply({}, status=404)
-        lease.expires_at = time.monotonic() + lease.seconds
+        self._contents.leases[int(req.match_info["lease"])] = (
+            dataclasses.replace(
+                lease, expires_at=time.monotonic() + lease.seconds
+            )
+        )
         return self._reply({})
 
     async def _end_lease(self, _: str, req: web.Request) -> web.Response:
         lease_id = int(req.match_info["lease"])
-        if lease_id not in self._leases:
+        if lease_id not in self._contents.leases:
             return self._reply({}, status=404)
         self._drop_lease(lease_id)
         return self._reply({})
 
     def _drop_lease(self, lease_id: int) -> None:
-        del self._leases[lease_id]
+        del self._contents.leases[lease_id]
         attached = [
-            key for key, item in self._items.items() if item.lease == lease_id
+            key
+            for key, item in self._contents.items.items()
+            if item.lease == lease_id
         ]
         for key in attached:
-            self.remove(key)
+            self._remove(key)
 
     def _describe(self, key: str) -> dict:
-        item = self._items.get(key)
+        item = self._contents.items.get(key)
         if item is None:
-            revision = self._removed_revisions[key]
+            revision = self._contents.removed_revisions[key]
             return {"key": key, "revision": revision, "removed": True}
         return {
             "key": key,
@@ -335,7 +383,9 @@
     def _reply(
         self, document: collections.abc.Mapping, status: int = 200
     ) -> web.Response:
-        body = json.dumps({**document, "storeRevision": self._revision})
+        body = json.dumps(
+            {**document, "storeRevision": self._contents.revision}
+        )
         return web.Response(
             status=status, body=body, content_type="application/json"
         )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,7 @@
 from soak import callers
 from soak import fleet
 from soak import observations
+from soak import store_returns
 from soak import targets
 
 BROKEN_MODES = [mode for mode in store.Mode if mode is not store.Mode.NORMAL]
@@ -511,7 +512,14 @@
     [FaultContext], collections.abc.Coroutine[None, None, None]
 ]
 _STORE_FAULTS = frozenset(
-    {stop_store, slow_store, lose_store_answers, turn_nodes_away}
+    {
+        stop_store,
+        slow_store,
+        lose_store_answers,
+        turn_nodes_away,
+        store_returns.return_store,
+        store_returns.return_store_twice,
+    }
 )
 """Faults that set the same faults of the store."""
 
@@ -554,5 +562,13 @@
     )
 }
 
-ONLY_BY_NAME: dict[str, Fault] = {hand_over_address.__name__: hand_over_address}
-"""Faults that are not drawn: the platform says that they don't happen."""
+ONLY_BY_NAME: dict[str, Fault] = {
+    fault.__name__: fault
+    for fault in (
+        hand_over_address,
+        store_returns.return_store,
+        store_returns.return_store_twice,
+    )
+}
+"""Faults that are not drawn: the platform says that an address isn't handed
+over so, and nodes don't bear that the store goes back."""
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -87,8 +87,8 @@
     key = documents.evacuation_key("a")
     await asyncio.sleep(0.05)
     assert [task.done() for task in started] == [False, True, True]
-    assert key in running_fleet.store._items
+    assert running_fleet.store.value(key) == b"{}"
     await asyncio.gather(*started)
-    assert key not in running_fleet.store._items
+    assert running_fleet.store.value(key) == b""
     ends = [removal.end for removal in running_fleet.observed.evacuations]
     assert ends[1] < ends[2] < ends[0] < float("inf")
