Order leaders, fences, tables and reads by the era of the store

Cause: after the store came back from a copy, a new leader took a term and fences that had been given out before (or the old one went on), and granted by the copy's table what had been moved since.

A revision now holds the era and the store's number, so that all comparisons over a return are right; calls stay within an era (store/era_store.py). A term ends with its era, and the last leader campaigns first. Fences get an offset that grows with the era, kept in the store and in memory; within an era they are as before, so that both versions may lead in turn during a roll. A leader's writes fail in a later era that has an entry. A table of an earlier era is adopted before any grant: from the memory of the leader that led until the return, or once all targets have confirmed a release of what isn't theirs, or once all grants have run out.

--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -28,6 +28,7 @@
 from jujubeyard.node import table_sync
 from jujubeyard.node import tasks
 from jujubeyard.node import upstream
+from jujubeyard.ownership import fences
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import ownership_client
 from jujubeyard.ownership import table
@@ -36,6 +37,7 @@
 from jujubeyard.platform import headers
 from jujubeyard.platform import store
 from jujubeyard.platform import target_client
+from jujubeyard.store import era_store
 from jujubeyard.store import eras
 from jujubeyard.store import health
 from jujubeyard.store import mirror
@@ -180,15 +182,25 @@
         )
         self._era_tracker = eras.EraTracker(log)
         self._metrics.watch_eras(self._era_tracker)
-        self._store = store.PlatformStore(
-            str(cfg.store),
-            self._store_session,
-            STORE_CALL_TIMEOUT_SECONDS,
-            STORE_READ_TIMEOUT_SECONDS,
+        self._store = era_store.EraStore(
+            store.PlatformStore(
+                str(cfg.store),
+                self._store_session,
+                STORE_CALL_TIMEOUT_SECONDS,
+                STORE_READ_TIMEOUT_SECONDS,
+                self._era_tracker,
+            ),
             self._era_tracker,
         )
         self._leadership = leader.Leadership(
-            self._store, prefixes.fleet, str(cfg.reports), log
+            self._store,
+            prefixes.fleet,
+            str(cfg.reports),
+            log,
+            self._era_tracker,
+            fences.EraEntries(
+                self._store, self._era_tracker, prefixes.eras, prefixes.tables
+            ),
         )
         self._view.set_leadership(self._leadership)
         store_health = health.Health(
@@ -232,6 +244,7 @@
             coordinator_client.read_table,
             self._leadership.is_leader,
             self._mirrors,
+            self._era_tracker,
         )
         self._reporter = reporting.Reporter(
             self._leader_address,
@@ -251,6 +264,7 @@
             self._mirrors,
             cfg.limits.max_hold,
             self._metrics,
+            self._era_tracker,
         )
         budget = memory.MemoryBudget(
             int(PEERS_MEMORY_SHARE * cfg.limits.memory_bytes),
--- a/src/jujubeyard/node/datagrams.py
+++ b/src/jujubeyard/node/datagrams.py
@@ -14,6 +14,7 @@
 from jujubeyard.node import protocol
 from jujubeyard.ownership import demand
 from jujubeyard.ownership import table
+from jujubeyard.store import revisions
 from jujubeyard.targets import loads
 
 MAX_BYTES = 1400
@@ -24,6 +25,11 @@
 UPDATE = "update"
 
 BEACON = "beacon"
+ERA_UPDATE = "era update"
+ERA_BEACON = "era beacon"
+"""Kinds with revisions that hold an era. Nodes of versions that know no eras
+ignore them, and read tables from the store."""
+
 LOADS = "loads"
 PRESSURE = "pressure"
 PERCENT = 100.0
@@ -44,6 +50,12 @@
     tables: dict[str, int]
     items: dict[str, int]
 
+    @property
+    def era(self) -> int:
+        """The newest era of the store in the revisions."""
+        latest = max((*self.tables.values(), *self.items.values()), default=0)
+        return revisions.era_of(latest)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetLoads:
@@ -119,9 +131,10 @@
 def _(message: table.Update) -> bytes:
     owners = list(dict.fromkeys(shard.owner for shard in message.shards))
     indexes = {owner: index for index, owner in enumerate(owners)}
+    has_era = revisions.era_of(message.revision) > 0
     return cbor2.dumps(
         [
-            UPDATE,
+            ERA_UPDATE if has_era else UPDATE,
             message.service,
             message.base,
             message.revision,
@@ -137,7 +150,8 @@
 
 @encode.register
 def _(message: Beacon) -> bytes:
-    return cbor2.dumps([BEACON, message.tables, message.items])
+    kind = ERA_BEACON if message.era else BEACON
+    return cbor2.dumps([kind, message.tables, message.items])
 
 
 @encode.register
@@ -238,10 +252,10 @@
     return Beacon(_decode_revisions(tables), _decode_revisions(items))
 
 
-def _decode_revisions(revisions) -> dict[str, int]:
+def _decode_revisions(latest) -> dict[str, int]:
     return {
         fields.check_name(name): fields.check_integer(revision)
-        for name, revision in revisions.items()
+        for name, revision in latest.items()
     }
 
 
@@ -289,6 +303,8 @@
     REPORT: _decode_report,
     UPDATE: _decode_update,
     BEACON: _decode_beacon,
+    ERA_UPDATE: _decode_update,
+    ERA_BEACON: _decode_beacon,
     LOADS: _decode_loads,
     PRESSURE: _decode_pressure,
 }
--- a/src/jujubeyard/node/placement_inputs.py
+++ b/src/jujubeyard/node/placement_inputs.py
@@ -58,6 +58,23 @@
             for target in warm
         ]
 
+    def possible_holders(
+        self, service: str, hold_seconds: float
+    ) -> list[table.Owner]:
+        """Returns the targets that may have got keys from an earlier leader.
+
+        Args:
+            service: Name of the service.
+            hold_seconds: How long a grant may last. Targets that have not been
+                listed for longer hold nothing.
+        """
+        oldest = time.monotonic() - hold_seconds
+        return [
+            make_owner(target)
+            for target in self._view.registry.service_targets(service)
+            if not target.removed_at or target.removed_at > oldest
+        ]
+
     def is_replaced(self, service: str, owner: table.Owner) -> bool:
         """Returns whether an owner's address has become that of another."""
         owners = map(make_owner, self._view.registry.service_targets(service))
--- a/src/jujubeyard/node/table_sync.py
+++ b/src/jujubeyard/node/table_sync.py
@@ -14,7 +14,9 @@
 from jujubeyard.node import cluster_view
 from jujubeyard.node import datagrams
 from jujubeyard.ownership import table
+from jujubeyard.store import eras
 from jujubeyard.store import mirror
+from jujubeyard.store import revisions
 
 TICK_SECONDS = 0.05
 BEHIND_SECONDS = 0.1
@@ -44,6 +46,7 @@
         read_table: ReadTable,
         is_leader: collections.abc.Callable[[], bool],
         mirrors: collections.abc.Sequence[mirror.Mirror],
+        era_tracker: eras.EraTracker | None = None,
     ):
         """Creates a synchronizer.
 
@@ -53,7 +56,9 @@
             is_leader: Returns whether this node is the leader, which writes
                 the tables itself.
             mirrors: Mirrors of the other prefixes of the store.
+            era_tracker: Knows the era of the store; None if it has none.
         """
+        self._era_tracker = era_tracker
         self._view = view
         self._read_table = read_table
         self._is_leader = is_leader
@@ -65,6 +70,8 @@
 
     def handle_update(self, update: table.Update) -> None:
         """Handles an update of the leader, or a part of one."""
+        if self._is_ambiguous(revisions.era_of(update.revision)):
+            return
         self._leader_seen_at = time.monotonic()
         complete_update = self._collect_parts(update)
         if complete_update is not None:
@@ -73,6 +80,8 @@
 
     def handle_beacon(self, beacon: datagrams.Beacon) -> None:
         """Handles a beacon of the leader."""
+        if self._is_ambiguous(beacon.era):
+            return
         self._leader_seen_at = time.monotonic()
         for service, revision in beacon.tables.items():
             self._check_revision(service, revision)
@@ -81,6 +90,20 @@
                 beacon.items.get(store_mirror.prefix, 0)
             )
 
+    def _is_ambiguous(self, era: int) -> bool:
+        """Returns whether revisions can't be compared with those of the store.
+
+        Leaders of versions that know no eras send them; tables are then read as
+        if the leader were silent.
+
+        Args:
+            era: Era in the revisions.
+        """
+        if self._era_tracker is None:
+            return False
+        has_eras = self._era_tracker.current != eras.UNKNOWN_ERA
+        return has_eras and era == eras.UNKNOWN_ERA
+
     def make_beacon(self) -> datagrams.Beacon | None:
         """Returns this node's beacon, or None if it isn't the leader."""
         if not self._is_leader():
--- a/src/jujubeyard/node/tasks.py
+++ b/src/jujubeyard/node/tasks.py
@@ -10,13 +10,17 @@
 from jujubeyard.node import cluster_view
 from jujubeyard.node import journal
 from jujubeyard.node import placement_inputs
+from jujubeyard.ownership import adoption
 from jujubeyard.ownership import grant_log
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import ownership_client
 from jujubeyard.ownership import shard_coordinator
+from jujubeyard.ownership import table
+from jujubeyard.store import eras
 from jujubeyard.store import health
 from jujubeyard.store import interface
 from jujubeyard.store import mirror
+from jujubeyard.store import revisions
 
 REGISTRATION_LEASE_SECONDS = 10.0
 LEASE_RENEW_SECONDS = 1.0
@@ -64,7 +68,8 @@
                 await asyncio.sleep(LEASE_RENEW_SECONDS)
             elif outcome.err_value.kind is interface.FailureKind.NO_LEASE:
                 self._log.log_event(
-                    "node registration expired", lease=self._lease
+                    "node registration expired",
+                    lease=revisions.describe(self._lease),
                 )
                 self._lease = 0
             else:
@@ -121,7 +126,24 @@
         mirrors: collections.abc.Sequence[mirror.Mirror],
         max_hold_seconds: float,
         meter: grant_log.Meter,
+        era_tracker: eras.EraTracker,
     ):
+        """Initializes a runner.
+
+        Args:
+            leadership: The terms; it learns of a new era before the runner.
+            view: The node's view of the cluster.
+            inputs: Targets and load.
+            client: Access to targets and to stored tables.
+            mirrors: Mirrors of the store, which are faster on the leader.
+            max_hold_seconds: Longest grant that targets accept.
+            meter: Metrics of grants and holds.
+            era_tracker: Knows the era of the store.
+        """
+        self._era_tracker = era_tracker
+        era_tracker.add_listener(self._keep_tables)
+        self._complete_tables: dict[str, table.ShardTable] = {}
+        self._adoptions: dict[str, asyncio.Task] = {}
         self._leadership = leadership
         self._mirrors = mirrors
         self._view = view
@@ -161,34 +183,94 @@
     def _change_term(self) -> None:
         for coordinator in self._coordinators.values():
             coordinator.stop()
+        for task in self._adoptions.values():
+            task.cancel()
         self._coordinators = {}
+        self._adoptions = {}
         self._term = self._leadership.term
 
+    def _keep_tables(self) -> None:
+        """Keeps the tables of a term that lasted until the store went back.
+
+        The store's copy may hold older ones.
+        """
+        self._complete_tables = {}
+        if self._term and self._leadership.continuous_term == self._term:
+            self._complete_tables = {
+                service: coordinator.shard_table
+                for service, coordinator in self._coordinators.items()
+            }
+
     async def _start_new_coordinators(self) -> None:
         for service in self._keyed_services():
-            if service in self._coordinators:
+            if service in self._coordinators or service in self._adoptions:
                 continue
             stored = await self._client.read_table(service)
             if stored is None or self._leadership.term != self._term:
                 return
-            known = self._view.tables.get(service)
-            self._client.log_event(
-                "table read for term",
-                service=service,
-                revision=stored.revision,
-                known_revision=known.revision if known else 0,
+            self._log_table_read(stored)
+            is_adopted_first = adoption.is_needed(
+                stored, self._era_tracker, self._max_hold_seconds
             )
-            self._view.apply_table(stored)
-            coordinator = shard_coordinator.ShardCoordinator(
+            if is_adopted_first:
+                self._adoptions[service] = asyncio.create_task(
+                    self._adopt(stored)
+                )
+            else:
+                self._start_coordinator(stored)
+
+    def _log_table_read(self, stored: table.ShardTable) -> None:
+        known = self._view.tables.get(stored.service)
+        known_revision = known.revision if known is not None else 0
+        self._client.log_event(
+            "table read for term",
+            service=stored.service,
+            revision=revisions.describe(stored.revision),
+            known_revision=revisions.describe(known_revision),
+        )
+
+    async def _adopt(self, stored: table.ShardTable) -> None:
+        """Starts a coordinator once a table of an earlier era may be used."""
+        service, term = stored.service, self._term
+        hold_seconds = adoption.latest_doubt(0.0, self._max_hold_seconds)
+        memory = adoption.Memory(
+            self._view.tables.get(service),
+            self._complete_tables.get(service),
+            lambda: self._inputs.possible_holders(service, hold_seconds),
+        )
+        try:
+            adopted = await adoption.Adoption(
                 service,
                 self._leadership,
-                self._inputs,
+                self._era_tracker,
                 self._client,
                 self._max_hold_seconds,
-                self._meter,
+            ).run(stored, memory)
+        except Exception as exc:
+            adopted = None
+            self._client.log_event(
+                "table adoption failed", service=service, detail=repr(exc)
             )
-            coordinator.load(stored)
-            self._coordinators[service] = coordinator
+            await asyncio.sleep(IDLE_TICK_SECONDS)
+        if self._term != term:
+            return
+        del self._adoptions[service]
+        if adopted is not None and self._leadership.term == term:
+            self._start_coordinator(adopted)
+
+    def _start_coordinator(self, stored: table.ShardTable) -> None:
+        if stored.shards:
+            self._client.publish(stored)
+        coordinator = shard_coordinator.ShardCoordinator(
+            stored.service,
+            self._leadership,
+            self._inputs,
+            self._client,
+            self._max_hold_seconds,
+            self._meter,
+        )
+        coordinator.load(stored)
+        self._coordinators[stored.service] = coordinator
 
     def _keyed_services(self) -> collections.abc.Iterator[str]:
         if self._view.routes is None:
--- a/src/jujubeyard/ownership/grant_log.py
+++ b/src/jujubeyard/ownership/grant_log.py
@@ -11,6 +11,7 @@
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import table
 from jujubeyard.ownership import target_requests
+from jujubeyard.store import revisions
 
 FLUSH_SECONDS = 1.0
 """Minimum time between two lines, except at the end of a term."""
@@ -171,7 +172,7 @@
         self._log.log_event(
             "grants",
             service=self._service,
-            term=self._term,
+            term=revisions.describe(self._term),
             owners=[
                 (owner.target_id, owner.born, owner.address)
                 for owner in indexes
--- a/src/jujubeyard/ownership/ownership_client.py
+++ b/src/jujubeyard/ownership/ownership_client.py
@@ -12,7 +12,9 @@
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import table
 from jujubeyard.ownership import target_requests
+from jujubeyard.store import eras
 from jujubeyard.store import interface
+from jujubeyard.store import revisions
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -200,7 +202,10 @@
             return None
 
     async def write_table(
-        self, new_table: table.ShardTable, leader_condition: interface.Condition
+        self,
+        new_table: table.ShardTable,
+        leader_conditions: collections.abc.Sequence[interface.Condition],
+        era: int = eras.UNKNOWN_ERA,
     ) -> WriteResult:
         """Replaces the stored table if its revision hasn't changed.
 
@@ -210,26 +215,30 @@
 
         Args:
             new_table: The new shards, and the revision that they replace.
-            leader_condition: Fails the write if this node no longer leads.
+            leader_conditions: Fail the write if this node no longer leads.
+            era: Era of the store in which this node leads.
         """
         key = self._table_key(new_table.service)
-        body = table.encode(new_table.shards)
+        body = table.encode(new_table.shards, era)
         conditions = [
-            leader_condition,
-            interface.Condition(key, new_table.revision),
+            *leader_conditions,
+            interface.Condition(key, new_table.item_revision),
         ]
         outcome = await self._store.write(
             conditions, [interface.Put(key, body)]
         )
         if outcome.is_ok():
             written = table.ShardTable(
-                new_table.service, new_table.shards, outcome.ok_value
+                new_table.service,
+                new_table.shards,
+                outcome.ok_value,
+                written_era=era,
             )
             return WriteResult(True, written)
         self.log_event(
             "table not written",
             service=new_table.service,
-            revision=new_table.revision,
+            revision=revisions.describe(new_table.item_revision),
             detail=outcome.err_value.detail,
         )
         if outcome.err_value.kind is interface.FailureKind.NOT_APPLIED:
@@ -237,4 +246,7 @@
         stored = await self.read_table(new_table.service)
         if stored is None:
             return WriteResult(False, None)
-        return WriteResult(stored.shards == new_table.shards, stored)
+        is_written = (
+            stored.shards == new_table.shards and stored.written_era == era
+        )
+        return WriteResult(is_written, stored)
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -22,7 +22,7 @@
 from jujubeyard.ownership import planner
 from jujubeyard.ownership import table
 from jujubeyard.ownership import target_requests
-from jujubeyard.store import interface
+from jujubeyard.store import revisions
 
 SETTLE_SECONDS = 2.0
 """Time without a newly joined target before the first table is created."""
@@ -185,6 +185,11 @@
         self._is_stopped = False
         self._tasks: set[asyncio.Task] = set()
 
+    @property
+    def shard_table(self) -> table.ShardTable | None:
+        """The table of the term; None before it is loaded."""
+        return self._table
+
     def stop(self) -> None:
         """Stops at the end of the term; sends no further requests."""
         self._is_stopped = True
@@ -203,11 +208,11 @@
         self._client.log_event(
             "term begins for service",
             service=self.service,
-            term=self._term,
+            term=revisions.describe(self._term),
             won_at=_round_time(won_at),
             loaded_at=_round_time(clock.boottime()),
             earlier_holds_until=_round_time(until),
-            revision=stored.revision,
+            revision=revisions.describe(stored.revision),
             shards=len(stored.shards),
         )
 
@@ -358,7 +363,7 @@
         self._client.log_event(
             "shard freed",
             service=self.service,
-            term=self._term,
+            term=revisions.describe(self._term),
             first=shard.first,
             last=shard.last,
             owner=shard.owner.target_id,
@@ -491,8 +496,11 @@
     ) -> None:
         try:
             result = await self._client.write_table(
-                table.ShardTable(self.service, shards, self._table.revision),
-                interface.Condition(self._leadership.key, self._term),
+                table.ShardTable(
+                    self.service, shards, self._table.item_revision
+                ),
+                self._leadership.conditions(self._term),
+                revisions.era_of(self._term),
             )
         finally:
             self._is_writing = False
@@ -520,7 +528,7 @@
             self._client.log_event(
                 "next owner replaced",
                 service=self.service,
-                term=self._term,
+                term=revisions.describe(self._term),
                 first=first,
                 planned=move.to.target_id,
                 to=owner.target_id,
@@ -745,7 +753,7 @@
             self._client.log_event(
                 "another target replied",
                 service=self.service,
-                term=self._term,
+                term=revisions.describe(self._term),
                 owner=owner.target_id,
                 born=owner.born,
                 address=owner.address,
--- a/src/jujubeyard/ownership/table.py
+++ b/src/jujubeyard/ownership/table.py
@@ -8,6 +8,8 @@
 
 from jujubeyard import fields
 from jujubeyard.node import protocol
+from jujubeyard.store import eras
+from jujubeyard.store import revisions
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,13 +56,30 @@
         service: Name of the service.
         shards: All shards. They cover the whole key space; empty before the
             first assignment.
-        revision: Store revision of the table; 0 if none is stored.
+        revision: Store revision of the table in the era in which it was
+            written, which orders tables; 0 if none is stored.
+        item_revision: Revision of the stored item as it was read, which a write
+            compares. It differs from the other one in a copy from which the
+            store came back.
+        written_era: Era in which it was written; unknown in tables of versions
+            that don't store it.
     """
 
-    def __init__(self, service: str, shards: tuple[Shard, ...], revision: int):
+    def __init__(
+        self,
+        service: str,
+        shards: tuple[Shard, ...],
+        revision: int,
+        item_revision: int | None = None,
+        written_era: int = eras.UNKNOWN_ERA,
+    ):
         self.service = service
         self.shards = shards
         self.revision = revision
+        self.item_revision = (
+            revision if item_revision is None else item_revision
+        )
+        self.written_era = written_era
         self._firsts = [shard.first for shard in shards]
 
     def find(self, key: int) -> Shard | None:
@@ -169,28 +188,34 @@
     return ranges
 
 
-def encode(shards: tuple[Shard, ...]) -> bytes:
-    """Serializes shards to the stored form of a table (CBOR)."""
+def encode(shards: tuple[Shard, ...], era: int = eras.UNKNOWN_ERA) -> bytes:
+    """Serializes shards to the stored form of a table (CBOR).
+
+    Args:
+        shards: The shards.
+        era: Era of the store in which they are written.
+    """
     owners = list(dict.fromkeys(shard.owner for shard in shards))
     indexes = {owner: index for index, owner in enumerate(owners)}
-    return cbor2.dumps(
-        {
-            "owners": [[o.target_id, o.born, o.address] for o in owners],
-            "shards": [
-                [s.first, s.last, indexes[s.owner], s.fence, s.handover]
-                for s in shards
-            ],
-        }
-    )
+    document = {
+        "owners": [[o.target_id, o.born, o.address] for o in owners],
+        "shards": [
+            [s.first, s.last, indexes[s.owner], s.fence, s.handover]
+            for s in shards
+        ],
+    }
+    if era != eras.UNKNOWN_ERA:
+        document["era"] = era
+    return cbor2.dumps(document)
 
 
-def decode(service: str, body: bytes, revision: int) -> ShardTable:
+def decode(service: str, body: bytes, item_revision: int) -> ShardTable:
     """Parses the stored form of a table.
 
     Args:
         service: Name of the service.
         body: The stored value.
-        revision: Store revision of the value.
+        item_revision: Store revision of the item that holds it.
 
     Raises:
         errors.FormatError: The stored value is malformed.
@@ -202,7 +227,13 @@
             raise ValueError(str(exc)) from exc
         owners = [decode_owner(row) for row in document["owners"]]
         shards = tuple(decode_shard(row, owners) for row in document["shards"])
-    return ShardTable(service, shards, revision)
+        era = fields.check_integer(
+            document.get("era", eras.UNKNOWN_ERA), maximum=revisions.MAX_ERA
+        )
+    revision = item_revision
+    if era != eras.UNKNOWN_ERA:
+        revision = revisions.pack(era, revisions.number_of(item_revision))
+    return ShardTable(service, shards, revision, item_revision, era)
 
 
 def decode_owner(row: collections.abc.Sequence) -> Owner:
--- a/src/jujubeyard/platform/store.py
+++ b/src/jujubeyard/platform/store.py
@@ -3,8 +3,10 @@
 import asyncio
 import base64
 import collections.abc
+import dataclasses
 import functools
 import json
+import re
 import time
 import typing
 
@@ -18,10 +20,15 @@
 from jujubeyard.platform import documents
 from jujubeyard.store import eras
 from jujubeyard.store import interface
+from jujubeyard.store import revisions
 
 T = typing.TypeVar("T")
 HTTP_OK = 200
 ERA_HEADER = "Store-Era"
+ERA_PATTERN = re.compile("[0-9]{1,9}")
+FIRST_ERA = 1
+"""Era of an answer with the number 0: that of the product is unknown."""
+
 ANSWER_SILENCE_SECONDS = 1.0
 """Longest pause within an answer. Its whole transfer may take longer, as that
 of a large configuration does on a slow link."""
@@ -50,8 +57,25 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """The answer to a call.
+
+    Attributes:
+        document: Its body.
+        era: Era of the store that it names; `eras.UNKNOWN_ERA` without one.
+    """
+
+    document: dict
+    era: int
+
+
 class PlatformStore:
-    """Implements the store interface with the platform's HTTP protocol."""
+    """Implements the store interface with the platform's HTTP protocol.
+
+    It translates revisions and leases, which are those of `revisions`, to the
+    store's own numbers.
+    """
 
     def __init__(
         self,
@@ -109,6 +133,10 @@
                 return decoded
             page_items, page_revision, has_more = decoded.ok_value
             revision = revision or page_revision
+            if revisions.era_of(page_revision) != revisions.era_of(revision):
+                return _make_failure(
+                    interface.FailureKind.UNKNOWN, "pages of two eras"
+                )
             items += page_items
             if not has_more or not page_items:
                 return result.Ok(interface.ItemBatch(tuple(items), revision))
@@ -140,7 +168,7 @@
         wait_ms = int(seconds * durations.MILLISECONDS_PER_SECOND)
         query = {
             "prefix": prefix,
-            "after": str(after),
+            "after": str(revisions.number_of(after)),
             "waitMs": str(wait_ms),
         }
         timeout = seconds + self._read_seconds
@@ -162,14 +190,17 @@
         """Writes all values atomically if all conditions hold."""
         document = {
             "expected": [
-                {"key": condition.key, "revision": condition.revision}
+                {
+                    "key": condition.key,
+                    "revision": revisions.number_of(condition.revision),
+                }
                 for condition in conditions
             ],
             "puts": [
                 {
                     "key": put.key,
                     "value": base64.b64encode(put.value).decode(),
-                    "lease": put.lease,
+                    "lease": revisions.number_of(put.lease),
                 }
                 for put in puts
             ],
@@ -194,14 +225,17 @@
         self, lease: int
     ) -> result.Result[None, interface.Failure]:
         """Renews a lease for another time to live."""
-        outcome = await self._call("POST", f"/kv-keep/{lease}")
+        outcome = await self._call(
+            "POST", f"/kv-keep/{revisions.number_of(lease)}"
+        )
         return outcome.map(lambda _: None)
 
     async def end_lease(
         self, lease: int
     ) -> result.Result[None, interface.Failure]:
         """Revokes a lease and removes the items attached to it."""
-        outcome = await self._call("DELETE", f"/kv-lease-end/{lease}")
+        path = f"/kv-lease-end/{revisions.number_of(lease)}"
+        outcome = await self._call("DELETE", path)
         return outcome.map(lambda _: None)
 
     async def _call(
@@ -213,7 +247,7 @@
         timeout: float | None = None,
         transfer: interface.Transfer | None = None,
         max_bytes: int = MAX_ANSWER_BYTES,
-    ) -> result.Result[dict, interface.Failure]:
+    ) -> result.Result[_Answer, interface.Failure]:
         timeout = timeout or self._call_seconds
         client_timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=min(timeout, self._read_seconds)
@@ -232,7 +266,7 @@
                     timeout=client_timeout,
                 ) as resp,
             ):
-                self._observe_era(resp)
+                era = self._observe_era(resp)
                 reply = await _read_body(
                     resp, limit, transfer or interface.Transfer(), max_bytes
                 )
@@ -242,21 +276,38 @@
             return _make_failure(interface.FailureKind.NOT_APPLIED, repr(exc))
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             return _make_failure(interface.FailureKind.UNKNOWN, repr(exc))
+        if self._is_outdated(era):
+            return _make_failure(
+                interface.FailureKind.UNKNOWN, "answer of an earlier era"
+            )
         if resp.status != HTTP_OK:
             kind = FAILURE_KINDS.get(resp.status, interface.FailureKind.UNKNOWN)
             return _make_failure(kind, f"HTTP {resp.status}")
         try:
-            return result.Ok(
-                documents.parse_json_object(reply) if reply else {}
-            )
+            document = documents.parse_json_object(reply) if reply else {}
+            return result.Ok(_Answer(document, era))
         except errors.FormatError as exc:
             return _make_failure(interface.FailureKind.UNKNOWN, exc.message)
 
-    def _observe_era(self, resp: aiohttp.ClientResponse) -> None:
-        """Passes on the era of the store that an answer names, if it does."""
-        era = resp.headers.get(ERA_HEADER, "")
-        if self._era_tracker is not None and era.isdecimal():
-            self._era_tracker.observe(int(era), eras.Source.STORE)
+    def _observe_era(self, resp: aiohttp.ClientResponse) -> int:
+        """Passes on the era of the store that an answer names, and returns it.
+
+        An answer without one is taken for one of the current era.
+        """
+        if self._era_tracker is None:
+            return eras.UNKNOWN_ERA
+        number = resp.headers.get(ERA_HEADER, "")
+        if not ERA_PATTERN.fullmatch(number):
+            return self._era_tracker.current
+        era = int(number) + FIRST_ERA
+        if era > revisions.MAX_ERA:
+            return self._era_tracker.current
+        self._era_tracker.observe(era)
+        return era
+
+    def _is_outdated(self, era: int) -> bool:
+        """Returns whether an era has ended."""
+        return self._era_tracker is not None and era < self._era_tracker.current
 
 
 async def _read_body(
@@ -302,42 +353,54 @@
 
 
 def _decode(
-    decode_document: collections.abc.Callable[[dict], T], document: dict
+    decode_document: collections.abc.Callable[[dict, int], T], answer: _Answer
 ) -> result.Result[T, interface.Failure]:
     """Decodes a reply; one that is malformed says nothing about the call."""
     try:
         with fields.reject_malformed("reply of the store"):
-            return result.Ok(decode_document(document))
+            return result.Ok(decode_document(answer.document, answer.era))
     except errors.FormatError as exc:
         return _make_failure(interface.FailureKind.UNKNOWN, exc.message)
 
 
-def _decode_page(document: dict) -> tuple[list[interface.Item], int, bool]:
+def _decode_page(
+    document: dict, era: int
+) -> tuple[list[interface.Item], int, bool]:
     """Returns the items of a page, its revision and whether more follow."""
-    items = [_decode_item(entry) for entry in document["items"]]
-    revision = fields.check_integer(document["storeRevision"])
+    items = [_decode_item(entry, era) for entry in document["items"]]
+    revision = _decode_revision(document["storeRevision"], era)
     return items, revision, bool(document["hasMore"])
 
 
-def _decode_events(document: dict) -> interface.ItemBatch:
-    items = tuple(_decode_item(entry) for entry in document["events"])
+def _decode_events(document: dict, era: int) -> interface.ItemBatch:
+    items = tuple(_decode_item(entry, era) for entry in document["events"])
     return interface.ItemBatch(
-        items, fields.check_integer(document["storeRevision"])
+        items, _decode_revision(document["storeRevision"], era)
     )
 
 
-def _decode_number(name: str) -> collections.abc.Callable[[dict], int]:
-    """Returns a decoder of the number in a field of a reply."""
-    return lambda document: fields.check_integer(document[name])
+def _decode_number(
+    name: str,
+) -> collections.abc.Callable[[dict, int], int]:
+    """Returns a decoder of the revision or lease in a field of a reply."""
+    return lambda document, era: _decode_revision(document[name], era)
+
+
+def _decode_revision(number: object, era: int) -> int:
+    """Returns the revision or lease with a number of the store."""
+    checked = fields.check_integer(number, maximum=revisions.MAX_NUMBER)
+    return revisions.pack(era, checked)
 
 
-def _decode_item(entry: dict) -> interface.Item:
+def _decode_item(entry: dict, era: int) -> interface.Item:
     value = None
     if not entry.get("removed"):
         value = base64.b64decode(entry["value"], validate=True)
     return interface.Item(
         fields.check_name(entry["key"]),
         value,
-        fields.check_integer(entry["revision"]),
-        fields.check_integer(entry.get("createdAt", 0)),
+        _decode_revision(entry["revision"], era),
+        _decode_revision(entry["createdAt"], era)
+        if "createdAt" in entry
+        else 0,
     )
--- a/src/jujubeyard/store/changes.py
+++ b/src/jujubeyard/store/changes.py
@@ -31,6 +31,11 @@
         """Prefix of the owner tables, which nodes also send to each other."""
         return self.router + "tables/"
 
+    @property
+    def eras(self) -> str:
+        """Prefix of the entries of the store's eras, which leaders write."""
+        return self.router + "eras/"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationChanged:
--- a/src/jujubeyard/store/eras.py
+++ b/src/jujubeyard/store/eras.py
@@ -6,7 +6,6 @@
 """
 
 import collections.abc
-import enum
 import typing
 
 from jujubeyard import clock
@@ -15,13 +14,6 @@
 """Era of a store that doesn't tell it."""
 
 
-class Source(enum.Enum):
-    """From whom a node learns of an era."""
-
-    STORE = "store"
-    NODE = "another node"
-
-
 class Journal(typing.Protocol):
     """Log of the changes of the era."""
 
@@ -42,6 +34,7 @@
         learned_at: When the node learned of it, in boot time; the time of the
             tracker's creation before that. The era began earlier.
         changes: Number of times that a newer era has replaced one.
+        first: First era that it knew; `UNKNOWN_ERA` before.
     """
 
     def __init__(self, log: Journal):
@@ -55,28 +48,27 @@
         self.current = UNKNOWN_ERA
         self.learned_at = clock.boottime()
         self.changes = 0
+        self.first = UNKNOWN_ERA
 
     def add_listener(self, listener: collections.abc.Callable[[], None]):
         """Adds a function that is called once a newer era is known."""
         self._listeners.append(listener)
 
-    def observe(self, era: int, source: Source) -> None:
+    def observe(self, era: int) -> None:
         """Takes note of an era; an earlier one than the current is ignored.
 
         Args:
-            era: The era.
-            source: Who names it.
+            era: The era that an answer of the store names.
         """
         if era <= self.current:
             return
         before, self.current = self.current, era
         self.learned_at = clock.boottime()
         if before == UNKNOWN_ERA:
-            self._log.log_event("store era known", era=era, source=source.value)
+            self.first = era
+            self._log.log_event("store era known", era=era)
         else:
             self.changes += 1
-            self._log.log_event(
-                "store went back", era=era, before=before, source=source.value
-            )
+            self._log.log_event("store went back", era=era, before=before)
         for listener in self._listeners:
             listener()
--- a/src/jujubeyard/store/mirror.py
+++ b/src/jujubeyard/store/mirror.py
@@ -10,6 +10,7 @@
 from jujubeyard.store import health
 from jujubeyard.store import hedging
 from jujubeyard.store import interface
+from jujubeyard.store import revisions
 
 WATCH_SECONDS = 17.0
 """Less than the 20 s of history that the store keeps: a watch that ends without
@@ -189,8 +190,8 @@
         self._log.log_event(
             "store read",
             prefix=self.prefix,
-            revision=self.revision,
-            latest_before=self.latest_revision,
+            revision=revisions.describe(self.revision),
+            latest_before=revisions.describe(self.latest_revision),
             items=len(items),
         )
         self._update_latest_revision(items)
@@ -357,7 +358,7 @@
         self._log.log_event(
             event,
             prefix=self.prefix,
-            after=self.revision,
+            after=revisions.describe(self.revision or 0),
             seconds=round(now - attempt.started_at, 3),
             arriving_seconds=round(now - first_byte_at, 3),
             bytes=attempt.transfer.received_bytes,
--- a/tests/ownership/test_leader.py
+++ b/tests/ownership/test_leader.py
@@ -7,6 +7,7 @@
 from jujubeyard import clock
 from jujubeyard.ownership import leader
 from jujubeyard.store import interface
+from tests.utils import era_fakes
 from tests.utils import fakes
 
 
@@ -23,7 +24,7 @@
 
 
 def _leadership(store, address="10.0.0.1:7"):
-    return leader.Leadership(store, "own/", address, fakes.RecordingJournal())
+    return era_fakes.make_leadership(store, address, fakes.RecordingJournal())
 
 
 async def test_only_one_of_two_nodes_is_elected(fake_clock):
--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -13,6 +13,7 @@
 from jujubeyard.ownership import shard_coordinator
 from jujubeyard.ownership import table
 from jujubeyard.ownership import target_requests
+from tests.utils import era_fakes
 from tests.utils import fakes
 
 SERVICE = "desk"
@@ -56,7 +57,7 @@
             await REAL_SLEEP(0)
 
     async def lead(self):
-        self.leadership = leader.Leadership(self.store, "own/", "n1", self.log)
+        self.leadership = era_fakes.make_leadership(self.store, "n1", self.log)
         assert await self.leadership._campaign()
         client = ownership_client.OwnershipClient(
             self.store,
--- a/tests/soak/test_store_copies.py
+++ b/tests/soak/test_store_copies.py
@@ -4,8 +4,8 @@
 import random
 
 import aiohttp
-import pytest
 from aiohttp import test_utils
+import pytest
 
 from platform_standins import contents
 from platform_standins import store
--- a/tests/store/test_eras.py
+++ b/tests/store/test_eras.py
@@ -28,7 +28,7 @@
     calls = []
     tracker.add_listener(lambda: calls.append(tracker.current))
     for era in observed:
-        tracker.observe(era, eras.Source.STORE)
+        tracker.observe(era)
     assert tracker.current == current
     assert [name for name, _ in journal.events] == lines
     assert len(calls) == len(lines)
@@ -39,8 +39,8 @@
     tracker = eras.EraTracker(fakes.RecordingJournal())
     node_metrics = metrics.Metrics()
     node_metrics.watch_eras(tracker)
-    tracker.observe(5, eras.Source.STORE)
-    tracker.observe(6, eras.Source.NODE)
+    tracker.observe(5)
+    tracker.observe(6)
     text = node_metrics.render().decode()
     assert "jujubeyard_store_era 6.0" in text
     assert "jujubeyard_store_returns 1.0" in text
@@ -49,8 +49,10 @@
 @pytest.mark.parametrize(
     ("head", "era"),
     [
-        ("HTTP/1.1 200 OK\r\nStore-Era: 7", 7),
-        ("HTTP/1.1 404 Not Found\r\nStore-Era: 7", 7),
+        ("HTTP/1.1 200 OK\r\nStore-Era: 0", 1),
+        ("HTTP/1.1 200 OK\r\nStore-Era: 7", 8),
+        ("HTTP/1.1 404 Not Found\r\nStore-Era: 7", 8),
+        ("HTTP/1.1 200 OK\r\nStore-Era: 99999999999", 0),
         ("HTTP/1.1 200 OK\r\nStore-Era: -7", 0),
         ("HTTP/1.1 200 OK\r\nStore-Era: later", 0),
         ("HTTP/1.1 200 OK", 0),
