Keep keys served by a leader that outlives a return of the store

Callers of keyed services got 503 (215) for up to 13 s after a return of the store while a target was silent, crashed or gone: the lease of the leader had run out while the store was away, so that it had to ask all targets, and one that doesn't answer takes the longest hold. Returns each few seconds began the wait anew.

A node that succeeds another leader now only renews grants in the first 2 s of its term (in a store with eras). So the last leader knows all moves although its lease ran out less than 2 s ago, and adopts its own table at once; only targets that got keys by a write of it that was not confirmed are asked. A leader that was in doubt and led on keeps its time.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -559,16 +559,10 @@
         grow_configuration,
         evacuate_zone,
         restart_target,
-    )
-}
-
-ONLY_BY_NAME: dict[str, Fault] = {
-    fault.__name__: fault
-    for fault in (
-        hand_over_address,
         store_returns.return_store,
         store_returns.return_store_twice,
     )
 }
-"""Faults that are not drawn: the platform says that an address isn't handed
-over so, and nodes don't bear that the store goes back."""
+
+ONLY_BY_NAME: dict[str, Fault] = {hand_over_address.__name__: hand_over_address}
+"""Faults that are not drawn: the platform says that they don't happen."""
--- a/src/jujubeyard/node/tasks.py
+++ b/src/jujubeyard/node/tasks.py
@@ -142,8 +142,10 @@
         """
         self._era_tracker = era_tracker
         era_tracker.add_listener(self._keep_tables)
-        self._complete_tables: dict[str, table.ShardTable] = {}
-        self._adoptions: dict[str, asyncio.Task] = {}
+        self._complete_tables: dict[str, adoption.CompleteTable] = {}
+        self._doubts: dict[str, float] = {}
+        self._adoptions: dict[str, adoption.Adoption] = {}
+        self._adoption_tasks: set[asyncio.Task] = set()
         self._leadership = leadership
         self._mirrors = mirrors
         self._view = view
@@ -183,22 +185,33 @@
     def _change_term(self) -> None:
         for coordinator in self._coordinators.values():
             coordinator.stop()
-        for task in self._adoptions.values():
+        for task in self._adoption_tasks:
             task.cancel()
         self._coordinators = {}
         self._adoptions = {}
         self._term = self._leadership.term
 
     def _keep_tables(self) -> None:
-        """Keeps the tables of a term that lasted until the store went back.
+        """Keeps what is known of a term that lasted until the store went back.
 
-        The store's copy may hold older ones.
+        The store's copy may hold older tables.
         """
         self._complete_tables = {}
-        if self._term and self._leadership.continuous_term == self._term:
-            self._complete_tables = {
-                service: coordinator.shard_table
-                for service, coordinator in self._coordinators.items()
+        self._doubts = {}
+        if not self._term or self._leadership.continuous_term != self._term:
+            return
+        has_lasted = self._leadership.has_lasted
+        self._complete_tables = {
+            service: adoption.CompleteTable(
+                coordinator.shard_table,
+                frozenset() if has_lasted else coordinator.unconfirmed_owners,
+            )
+            for service, coordinator in self._coordinators.items()
+        }
+        if has_lasted:
+            self._doubts = {
+                service: running.doubt_until
+                for service, running in self._adoptions.items()
             }
 
     async def _start_new_coordinators(self) -> None:
@@ -213,9 +226,7 @@
                 stored, self._era_tracker, self._max_hold_seconds
             )
             if is_adopted_first:
-                self._adoptions[service] = asyncio.create_task(
-                    self._adopt(stored)
-                )
+                self._start_adoption(stored)
             else:
                 self._start_coordinator(stored)
 
@@ -229,23 +240,34 @@
             known_revision=revisions.describe(known_revision),
         )
 
-    async def _adopt(self, stored: table.ShardTable) -> None:
+    def _start_adoption(self, stored: table.ShardTable) -> None:
+        service = stored.service
+        running = adoption.Adoption(
+            service,
+            self._leadership,
+            self._era_tracker,
+            self._client,
+            self._max_hold_seconds,
+        )
+        self._adoptions[service] = running
+        task = asyncio.create_task(self._adopt(running, stored))
+        self._adoption_tasks.add(task)
+        task.add_done_callback(self._adoption_tasks.discard)
+
+    async def _adopt(
+        self, running: adoption.Adoption, stored: table.ShardTable
+    ) -> None:
         """Starts a coordinator once a table of an earlier era may be used."""
         service, term = stored.service, self._term
         hold_seconds = adoption.latest_doubt(0.0, self._max_hold_seconds)
         memory = adoption.Memory(
             self._view.tables.get(service),
             self._complete_tables.get(service),
+            self._doubts.get(service),
             lambda: self._inputs.possible_holders(service, hold_seconds),
         )
         try:
-            adopted = await adoption.Adoption(
-                service,
-                self._leadership,
-                self._era_tracker,
-                self._client,
-                self._max_hold_seconds,
-            ).run(stored, memory)
+            adopted = await running.run(stored, memory)
         except Exception as exc:
             adopted = None
             self._client.log_event(
--- a/src/jujubeyard/ownership/adoption.py
+++ b/src/jujubeyard/ownership/adoption.py
@@ -39,19 +39,37 @@
     EXPIRED = "grants of earlier leaders expired"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CompleteTable:
+    """The table of a term since which nobody else can have moved keys.
+
+    Attributes:
+        shard_table: The table that the store confirmed last.
+        unconfirmed_owners: Targets that got shards by later writes, which may
+            have taken effect, so that a next leader may have granted them.
+    """
+
+    shard_table: table.ShardTable
+    unconfirmed_owners: frozenset[table.Owner]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Memory:
     """What a node knows of a table beside what the store holds.
 
     Attributes:
         newest: The table by which it sends calls; None if it has none.
-        complete: The table of its own term, if nobody else can have led
-            between that term and the return of the store; else None.
+        complete: The table of its own term, if that lasted until the store
+            went back; else None.
+        doubt_until: When all grants of earlier leaders have expired, in boot
+            time, if this node was in doubt until the store went back and has
+            sent none; else None.
         targets: Targets that may hold keys.
     """
 
     newest: table.ShardTable | None
-    complete: table.ShardTable | None
+    complete: CompleteTable | None
+    doubt_until: float | None
     targets: collections.abc.Callable[[], collections.abc.Iterable[table.Owner]]
 
 
@@ -90,7 +108,12 @@
 
 
 class Adoption:
-    """Makes a table of an earlier era the table of the current term."""
+    """Makes a table of an earlier era the table of the current term.
+
+    Attributes:
+        doubt_until: When all grants of earlier leaders have expired, in boot
+            time.
+    """
 
     def __init__(
         self,
@@ -116,7 +139,7 @@
         self._term = leadership.term
         self._learned_at = era_tracker.learned_at
         since = max(leadership.won_at, self._learned_at)
-        self._doubt_until = latest_doubt(since, max_hold_seconds)
+        self.doubt_until = latest_doubt(since, max_hold_seconds)
 
     async def run(
         self, stored: table.ShardTable, memory: Memory
@@ -133,9 +156,15 @@
         """
         started_at = clock.boottime()
         adopted = self._choose(stored, memory)
-        proof = Proof.CONTINUOUS
+        if memory.doubt_until is not None:
+            self.doubt_until = memory.doubt_until
         if memory.complete is None:
-            proof = await self._clear_doubt(adopted, stored, memory)
+            proof = await self._ask_all(adopted, stored, memory)
+        else:
+            proof = Proof.CONTINUOUS
+            suspects = memory.complete.unconfirmed_owners
+            if suspects:
+                proof = await self._clear_doubt(adopted, lambda: suspects)
         if proof is None or not self._is_leading():
             return None
         self._client.log_event(
@@ -153,7 +182,7 @@
         self, stored: table.ShardTable, memory: Memory
     ) -> table.ShardTable:
         if memory.complete is not None:
-            return memory.complete
+            return memory.complete.shard_table
         if (
             memory.newest is not None
             and memory.newest.revision > stored.revision
@@ -165,28 +194,37 @@
         leadership = self._leadership
         return leadership.term == self._term and leadership.is_leader()
 
-    async def _clear_doubt(
+    async def _ask_all(
         self,
         adopted: table.ShardTable,
         stored: table.ShardTable,
         memory: Memory,
+    ) -> Proof | None:
+        """Clears the doubt about all targets that may hold keys."""
+        if not self._leadership.is_last_leader:
+            await _sleep_until(self._learned_at + RELIST_SECONDS)
+        owners = {shard.owner for shard in (*adopted.shards, *stored.shards)}
+        return await self._clear_doubt(
+            adopted, lambda: owners | set(memory.targets())
+        )
+
+    async def _clear_doubt(
+        self,
+        adopted: table.ShardTable,
+        find_targets: collections.abc.Callable[[], set[table.Owner]],
     ) -> Proof | None:
         """Waits until no target holds keys that aren't its own.
 
         Returns:
             What proves it; None if the term has ended.
         """
-        if not self._leadership.is_last_leader:
-            await _sleep_until(self._learned_at + RELIST_SECONDS)
         fence = self._leadership.allocate_fence()
-        owners = {shard.owner for shard in (*adopted.shards, *stored.shards)}
         confirmed: set[table.Owner] = set()
         while True:
-            open_targets = owners | set(memory.targets())
-            open_targets -= confirmed
+            open_targets = find_targets() - confirmed
             if not open_targets:
                 return Proof.CONFIRMED
-            if clock.boottime() >= self._doubt_until:
+            if clock.boottime() >= self.doubt_until:
                 return Proof.EXPIRED
             if not self._is_leading():
                 return None
@@ -220,7 +258,7 @@
                 service=self._service,
                 targets=unanswered[:20],
                 count=len(unanswered),
-                doubt_left=round(self._doubt_until - clock.boottime(), 3),
+                doubt_left=round(self.doubt_until - clock.boottime(), 3),
             )
         return {
             target
--- a/src/jujubeyard/ownership/leader.py
+++ b/src/jujubeyard/ownership/leader.py
@@ -22,6 +22,11 @@
 """Time after the store went back in which only its last leader campaigns. It
 knows more of the tables than others."""
 
+TAKEOVER_SECONDS = 2.0
+"""Time from the election of another node than the last leader until keys move.
+If the store goes back until then, the last leader knows all moves, although its
+lease had run out while the store was away."""
+
 MAX_FENCES_USED = fences.FENCES_PER_TERM - (1 << 16)
 """Number of fences after which a term ends. The rest is for what is still sent
 until then."""
@@ -49,9 +54,10 @@
 
     Attributes:
         term: Number of this node's term; 0 while it doesn't lead.
-        continuous_term: Term in which this node led without a doubt until the
-            current era of the store began, directly after the era of the term;
-            0 if there is none.
+        continuous_term: Term of this node since which nobody else can have
+            moved keys until the current era of the store began, directly after
+            the era of the term; 0 if there is none.
+        has_lasted: Whether the lease of that term had certainly not run out.
         is_last_leader: Whether this node was the last known leader when the
             current era of the store began.
         won_at: Start of the term, in boot time (`clock.boottime`).
@@ -84,6 +90,7 @@
         self._entry = fences.EraEntry()
         self._woken = asyncio.Event()
         self.continuous_term = 0
+        self.has_lasted = False
         self.is_last_leader = False
         era_tracker.add_listener(self._begin_era)
         self._store = store
@@ -92,6 +99,7 @@
         self._log = log
         self._lease = 0
         self._valid_until = 0.0
+        self._moves_from = 0.0
         self._next_fence = 0
         self._vacant = asyncio.Event()
         self.term = 0
@@ -113,6 +121,10 @@
         """Returns whether this node leads and its lease can't have expired."""
         return bool(self.term) and clock.boottime() < self._valid_until
 
+    def may_move(self) -> bool:
+        """Returns whether keys may get other owners in this term already."""
+        return clock.boottime() >= self._moves_from
+
     def allocate_fence(self) -> int:
         """Returns a fence higher than all that were allocated before."""
         self._next_fence += 1
@@ -180,8 +192,10 @@
         """Ends the term once the store has come back from an older copy."""
         era = self._era_tracker.current
         is_next_era = revisions.era_of(self.term) + 1 == era
-        has_led = self.is_leader() and is_next_era
-        self.continuous_term = self.term if has_led else 0
+        is_unmoved = clock.boottime() < self._valid_until + TAKEOVER_SECONDS
+        is_continuous = is_unmoved and is_next_era
+        self.continuous_term = self.term if is_continuous else 0
+        self.has_lasted = is_continuous and self.is_leader()
         self.is_last_leader = self.address == self._own_address
         if self.term:
             self._end_term("the store went back")
@@ -215,6 +229,7 @@
     async def _campaign(self) -> bool:
         """Tries to become the leader; returns whether this node was elected."""
         era = self._era_tracker.current
+        is_last = self.address == self._own_address
         entry = await self._era_entries.ensure()
         if entry.is_err():
             return False
@@ -246,7 +261,7 @@
         if revisions.era_of(outcome.ok_value) != entry.ok_value.era:
             await self._store.end_lease(lease.ok_value)
             return False
-        self._begin_term(outcome.ok_value, entry.ok_value)
+        self._begin_term(outcome.ok_value, entry.ok_value, is_last)
         self._lease = lease.ok_value
         self._valid_until = sent_at + LEASE_SECONDS - CLOCK_MARGIN_SECONDS
         return True
@@ -271,11 +286,16 @@
             return None
         return item.revision
 
-    def _begin_term(self, term: int, entry: fences.EraEntry) -> None:
+    def _begin_term(
+        self, term: int, entry: fences.EraEntry, is_last_leader: bool
+    ) -> None:
         self._entry = entry
         self._next_fence = 0
         self._vacant.clear()
         self.won_at = clock.boottime()
+        self._moves_from = self.won_at
+        if entry.era != eras.UNKNOWN_ERA and not is_last_leader:
+            self._moves_from += TAKEOVER_SECONDS
         self.renewal_failed = False
         self.term = term
         self._log.log_event(
--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -179,6 +179,7 @@
         self._freed: dict[int, FreedShard] = {}
         self._renewal_failed_before = False
         self._is_writing = False
+        self._unconfirmed_owners: set[table.Owner] = set()
         self._next_write_at = 0.0
         self._next_balance_at = 0.0
         self._next_non_urgent_at = 0.0
@@ -190,6 +191,11 @@
         """The table of the term; None before it is loaded."""
         return self._table
 
+    @property
+    def unconfirmed_owners(self) -> frozenset[table.Owner]:
+        """Who got shards by writes that may have taken effect, unlike here."""
+        return frozenset(self._unconfirmed_owners)
+
     def stop(self) -> None:
         """Stops at the end of the term; sends no further requests."""
         self._is_stopped = True
@@ -227,6 +233,12 @@
             return
         if self._client.lost_addresses:
             self._check_lost_owners(now)
+        if self._leadership.may_move():
+            self._move(now)
+        self._renew(now)
+
+    def _move(self, now: float) -> None:
+        """Starts the moves and the table writes that are due."""
         candidates = [
             candidate
             for candidate in self._cluster_state.candidates(self.service)
@@ -237,7 +249,6 @@
             return
         self._start_moves(candidates, now)
         self._write_freed(candidates)
-        self._renew(now)
 
     def _is_leading(self) -> bool:
         """Returns whether the term in which this coordinator runs lasts."""
@@ -487,6 +498,10 @@
         freed: collections.abc.Mapping[int, FreedShard],
     ) -> None:
         self._is_writing = True
+        known = set(self._table.shards)
+        self._unconfirmed_owners |= {
+            shard.owner for shard in shards if shard not in known
+        }
         self._start_task(self._write(shards, freed))
 
     async def _write(
@@ -504,6 +519,8 @@
             )
         finally:
             self._is_writing = False
+        if result.is_written:
+            self._unconfirmed_owners.clear()
         if result.stored is not None:
             self._install_table(result.stored)
         if not result.is_written:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,8 @@
     "restart_target",
     "slow_node",
     "freeze_target",
+    "return_store",
+    "return_store_twice",
 )
 FIRST_FAULTS = tuple(name for name in faults.ALL if name not in LATER_FAULTS)
 REGRESSION_SEEDS = [
