--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -35,13 +35,14 @@
         monkeypatch.setattr(planner, "MIN_SHARDS", 4)
         monkeypatch.setattr(planner, "SHARDS_PER_TARGET", 1)
         self.pauses = []
-        monkeypatch.setattr(shard_coordinator.asyncio, "sleep", self.sleep)
+        monkeypatch.setattr(asyncio, "sleep", self.sleep)
         self.store = fakes.FakeStore()
         self.log = fakes.RecordingJournal()
         self.metrics = metrics.Metrics()
         self.target_client = fakes.FakeTargetClient(lambda: self.now)
         self.cluster_state = fakes.FakePlacementInputs()
         self.tables = []
+        self.client = None
         self.coordinator = None
         self.leadership = None
 
@@ -59,7 +60,7 @@
     async def lead(self):
         self.leadership = era_fakes.make_leadership(self.store, "n1", self.log)
         assert await self.leadership._campaign()
-        client = ownership_client.OwnershipClient(
+        self.client = ownership_client.OwnershipClient(
             self.store,
             fakes.FakeSession(),
             fakes.FakeSession(),
@@ -74,11 +75,11 @@
             SERVICE,
             self.leadership,
             self.cluster_state,
-            client,
+            self.client,
             MAX_HOLD_SECONDS,
             self.metrics,
         )
-        self.coordinator.load(await client.read_table(SERVICE))
+        self.coordinator.load(await self.client.read_table(SERVICE))
 
     async def run(self, seconds, step=0.05):
         end = self.now + seconds
@@ -144,7 +145,7 @@
         ]
 
 
-REAL_SLEEP = shard_coordinator.asyncio.sleep
+REAL_SLEEP = asyncio.sleep
 
 
 @pytest.fixture
@@ -289,7 +290,7 @@
     target = harness.target_client.targets["a"]
     target.is_refusing = True
     target.held_until.clear()
-    harness.coordinator._client.lost_addresses.add(target.owner.address)
+    harness.client.lost_addresses.add(target.owner.address)
     await harness.run(down_seconds)
     restarted = harness.restart("a")
     restarted.cold_seconds = COLD_SECONDS
@@ -306,12 +307,12 @@
     target = harness.target_client.targets["a"]
     grants = len(target.granted_fences)
     for _ in range(4):
-        harness.coordinator._client.lost_addresses.add(target.owner.address)
+        harness.client.lost_addresses.add(target.owner.address)
         await harness.run(1.5)
         harness.assert_all_keys_held()
     assert harness.owners() == {"a", "b"}
     assert len(target.granted_fences) > grants
-    assert not harness.coordinator._client.lost_addresses
+    assert not harness.client.lost_addresses
 
 
 RESTARTS = [
@@ -475,7 +476,7 @@
     restarted = fakes.FakeTarget(table.Owner("a", 2, "a:1"))
 
     def end_owner(target):
-        harness.coordinator._liveness.record_end(target.owner)
+        harness.coordinator._watch.liveness.record_end(target.owner)
         harness.target_client.targets["a"] = restarted
 
     await _play_higher_fence(harness, monkeypatch, end_owner)
@@ -493,7 +494,8 @@
     await harness.lead()
     await harness.run(MAX_HOLD_SECONDS - 0.5)
     assert "a" in harness.owners() | {
-        shard.owner.target_id for shard in harness.coordinator._table.shards
+        shard.owner.target_id
+        for shard in harness.coordinator.shard_table.shards
     }
     await harness.run(3.0)
     assert harness.owners() == {"b"}
@@ -581,14 +583,14 @@
     harness.add_targets("a", "b")
     await harness.lead()
     await harness.run(5.0)
-    revision = (await harness.coordinator._client.read_table(SERVICE)).revision
+    revision = (await harness.client.read_table(SERVICE)).revision
     harness.remove_candidate("a")
     harness.coordinator._start_write(harness.tables[-1].shards, {})
     harness.store.expire(harness.leadership._lease)
     harness.leadership._end_term("the lease no longer exists")
     for _ in range(8):
         await REAL_SLEEP(0)
-    stored = await harness.coordinator._client.read_table(SERVICE)
+    stored = await harness.client.read_table(SERVICE)
     assert stored.revision == revision
 
 
@@ -732,7 +734,7 @@
         )
         harness.tables.append(written)
 
-    harness.coordinator._client._publish = publish
+    harness.client._publish = publish
     harness.remove_candidate("a")
     await harness.run(0.5)
     assert harness.owners() == {"b"}
