Move grants and writes of the table out of the coordinator

Moved, logic unchanged:

- granter.py: _grant_freed (grant_freed), _renew (renew), _grant and what belongs to them, _start_refence, the grant log, the check before a grant, GRANT_WAIT_SECONDS, RENEW_TOGETHER_SECONDS;
- table_writer.py: _may_write, _write_freed, _start_write (all without the underscore), _write, _log_replaced_owner, BATCH_SECONDS, WRITE_RETRY_SECONDS; the choice of the next owners is a function of its own.

Tests: _grant_freed, _start_write and _is_writing are reached at these objects. No assertion changed.

--- a/tests/ownership/test_shard_coordinator.py
+++ b/tests/ownership/test_shard_coordinator.py
@@ -448,13 +448,14 @@
     await harness.run(1.0)
     target = harness.target_client.targets["a"]
     target.highest_fences[min(target.held_until)] += FENCES_UNTIL_RENEWAL
-    grant_freed = harness.coordinator._grant_freed
+    granter = harness.coordinator._granter
+    grant_freed = granter.grant_freed
 
     async def act_and_grant(freed):
         act(target)
         await grant_freed(freed)
 
-    monkeypatch.setattr(harness.coordinator, "_grant_freed", act_and_grant)
+    monkeypatch.setattr(granter, "grant_freed", act_and_grant)
     await harness.run(2 * HOLD_SECONDS)
 
 
@@ -585,7 +586,7 @@
     await harness.run(5.0)
     revision = (await harness.client.read_table(SERVICE)).revision
     harness.remove_candidate("a")
-    harness.coordinator._start_write(harness.tables[-1].shards, {})
+    harness.coordinator._writer.start_write(harness.tables[-1].shards, {})
     harness.store.expire(harness.leadership._lease)
     harness.leadership._end_term("the lease no longer exists")
     for _ in range(8):
@@ -748,7 +749,7 @@
     harness.add_targets("a")
     await harness.lead()
     await harness.run(2.0)
-    harness.coordinator._is_writing = is_writing
+    harness.coordinator._writer._is_writing = is_writing
     harness.leadership.renewal_failed = True
     await harness.run(0.15)
     target = harness.target_client.targets["a"]
