--- a/src/jujubeyard/ownership/shard_coordinator.py
+++ b/src/jujubeyard/ownership/shard_coordinator.py
@@ -1,14 +1,14 @@
 """Gives every key a single owner; runs on the leader, once per service.
 
-Carries out the moves that `planner` chooses. The old owner of a shard is asked
+Carries out the moves that `balancer` chooses. The old owner of a shard is asked
 to release it, or its grant is waited out (`releaser`), the new owner is written
 to the shard table (`table_writer`) and is sent a grant (`granter`).
 """
 
 from jujubeyard import clock
 from jujubeyard.ownership import assignments
+from jujubeyard.ownership import balancer
 from jujubeyard.ownership import cluster
-from jujubeyard.ownership import demand
 from jujubeyard.ownership import grant_log
 from jujubeyard.ownership import granter
 from jujubeyard.ownership import leader
@@ -24,20 +24,6 @@
 SETTLE_SECONDS = 2.0
 """Time without a newly joined target before the first table is created."""
 
-BALANCE_SECONDS = 0.4
-NON_URGENT_INTERVAL_SECONDS = 1.2
-"""Minimum time between two rounds of moves that aren't urgent."""
-
-JOIN_SHARE = 0.5
-"""Number of shards that a target without shards gets, as a share of the mean
-number of shards per target."""
-
-UNKNOWN_LOAD_JOIN_SHARE = 0.9
-"""Replaces `JOIN_SHARE` while the loads aren't known.
-
-Loads can't be balanced then, so the target gets nearly a full share at once.
-"""
-
 
 class ShardCoordinator:
     """Assigns the shards of one service during one term of leadership.
@@ -81,8 +67,9 @@
         self._writer = table_writer.TableWriter(
             self._term, self._assigned, self._granter
         )
-        self._next_balance_at = 0.0
-        self._next_non_urgent_at = 0.0
+        self._balancer = balancer.Balancer(
+            self._term, self._assigned, cluster_state, self._writer
+        )
 
     @property
     def shard_table(self) -> table.ShardTable | None:
@@ -149,79 +136,7 @@
     def _start_moves(
         self, candidates: list[planner.Candidate], now: float
     ) -> None:
-        for move in self._choose_moves(candidates, now):
+        for move in self._balancer.choose_moves(candidates, now):
             shard = self._assigned.table.shards[move.index]
             self._assigned.begin_move(shard.first, move.to)
             self._term.start_task(self._releaser.free(shard, move, now))
-
-    def _choose_moves(
-        self, candidates: list[planner.Candidate], now: float
-    ) -> list[planner.Move]:
-        """Returns the moves to begin now; may start to split shards instead.
-
-        Args:
-            candidates: Targets that may own keys.
-            now: Boot time.
-        """
-        shards = self._assigned.table.shards
-        rates = self._cluster_state.shard_rates(self._assigned.table)
-        moving_indexes = self._assigned.moving_indexes()
-        moves = planner.reassign_orphaned_shards(
-            shards, rates, candidates, moving_indexes
-        )
-        if moves or now < self._next_balance_at or self._writer.is_writing:
-            return moves
-        self._next_balance_at = now + BALANCE_SECONDS
-        return self._balance(shards, rates, candidates, moving_indexes)
-
-    def _balance(
-        self, shards, rates, candidates, moving_indexes
-    ) -> list[planner.Move]:
-        loads_known = self._cluster_state.may_balance(self._term.service)
-        planned = self._assigned.planned_shards()
-        share = JOIN_SHARE if loads_known else UNKNOWN_LOAD_JOIN_SHARE
-        moves = planner.fill_empty_targets(
-            planned, rates, candidates, share, moving_indexes
-        )
-        if moves:
-            return moves
-        if not loads_known:
-            return []
-        bucket_keys = demand.BUCKET_KEYS
-        hot_indexes = planner.find_hot_shards(
-            shards, rates, candidates, moving_indexes, bucket_keys
-        )
-        if hot_indexes and self._writer.may_write():
-            self._split_shards(hot_indexes)
-            return []
-        if len(moving_indexes) >= planner.max_moving_shards(len(shards)):
-            return []
-        return self._pace(
-            planner.rebalance(planned, rates, candidates, moving_indexes)
-        )
-
-    def _pace(self, moves: list[planner.Move]) -> list[planner.Move]:
-        """Returns the moves, or none while it is too early for them."""
-        now = clock.boottime()
-        if (
-            not any(move.is_urgent for move in moves)
-            and now < self._next_non_urgent_at
-        ):
-            return []
-        self._next_non_urgent_at = now + NON_URGENT_INTERVAL_SECONDS
-        return moves
-
-    def _split_shards(self, indexes: list[int]) -> None:
-        calls = self._cluster_state.bucket_calls(self._term.service)
-        shards, parts = self._assigned.table.shards, []
-        for index, shard in enumerate(shards):
-            if index in indexes:
-                parts += planner.split_shard(shard, calls, demand.BUCKET_KEYS)
-            else:
-                parts.append(shard)
-        self._term.log_event(
-            "shards split",
-            firsts=[shards[index].first for index in indexes],
-            shards=len(parts),
-        )
-        self._writer.start_write(tuple(parts), {})
