Keep evacuations that the store loses when it goes back to a copy

Cause: all items are read again, and an evacuation that isn't among them counts as taken back.

Change: an evacuation from before the era stays in force while the copy lacks it, until the operator has written it again or taken it back, or 10 s have passed since the node learned of the era. A change that is told before the first read of the era isn't taken for a new write. The 10 s count only while the process runs, so that a suspended node first reads what it missed. Without a new era nothing differs.

Evidence: tests/node/test_kept_evacuations.py, test_store_return.py (Mirror, ClusterView, EraTracker and a scripted store) and test_countdown.py. The tests of the new module test_countdown.py have no earlier code to fail on.

--- a/src/jujubeyard/node/cluster_view.py
+++ b/src/jujubeyard/node/cluster_view.py
@@ -8,7 +8,9 @@
 import time
 
 from jujubeyard import errors
+from jujubeyard.node import countdown
 from jujubeyard.node import journal
+from jujubeyard.node import kept_evacuations
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import table
 from jujubeyard.routing import config
@@ -19,6 +21,10 @@
 
 NODES_PREFIX = "nodes/"
 
+KEEP_SECONDS = 10.0
+"""Time until the operator and the targets have written again what the store
+lost when it came back from an older copy."""
+
 MAX_UNREADABLE_LINES = 20
 """Largest number of log lines on unreadable entries of one configuration."""
 
@@ -65,6 +71,12 @@
         self._store_lost_at = time.monotonic()
         self.routes: match.RouteTable | None = None
         self.registry = registry.Registry()
+        self._kept_evacuations = kept_evacuations.KeptEvacuations(
+            self.registry, log
+        )
+        self._keep_countdown = countdown.Countdown(
+            KEEP_SECONDS, self._end_keeping
+        )
         self.tables: dict[str, table.ShardTable] = {}
         self.nodes: set[str] = set()
 
@@ -78,6 +90,15 @@
         """Sets how to find out whether a newer configuration is known."""
         self.is_configuration_outdated = is_outdated
 
+    def begin_era(self) -> None:
+        """Keeps what the store may have lost: it came from an older copy."""
+        self._kept_evacuations.begin_era()
+        self._keep_countdown.restart()
+
+    def _end_keeping(self) -> None:
+        """Applies what the store has had since the era began."""
+        self._kept_evacuations.end()
+
     def node_count(self) -> int:
         """Returns the number of listed nodes, but at least one."""
         return max(1, len(self.nodes))
@@ -180,8 +201,7 @@
             for change in decoded
             if isinstance(change, changes.ZoneChanged)
         }
-        for zone in self.registry.evacuated_since.keys() - zones:
-            self.registry.set_evacuated(zone, False, self._changed_at)
+        self._kept_evacuations.apply_snapshot(zones, self._changed_at)
 
     def apply_changes(
         self,
@@ -243,6 +263,7 @@
 
     @_apply.register
     def _(self, change: changes.ZoneChanged) -> None:
+        self._kept_evacuations.observe_change(change.zone, change.evacuated)
         self.registry.set_evacuated(
             change.zone, change.evacuated, self._changed_at
         )
--- a/src/jujubeyard/node/core.py
+++ b/src/jujubeyard/node/core.py
@@ -191,6 +191,7 @@
             self._store, prefixes.fleet, str(cfg.reports), log
         )
         self._view.set_leadership(self._leadership)
+        self._era_tracker.add_listener(self._view.begin_era)
         store_health = health.Health(
             self._view.on_store_lost, self._view.on_store_recovered
         )
