Keep targets draining that the store shows as ready again

Callers saw: a target that had begun to drain shortly before the store went back to an older copy is ready in the copy, so that it gets new calls and keys until it has written its entry again (DRAIN).

Cause: a listing that is read replaces the known state, whatever its age.

Change: a target that was draining when an era began drains on in this incarnation. Without a new era a listing as ready counts as before. `seq` of an entry is read into the listing; it was checked already, and what is malformed stays so. It doesn't count as a difference for the line `target listed`.

--- a/src/jujubeyard/node/cluster_view.py
+++ b/src/jujubeyard/node/cluster_view.py
@@ -10,6 +10,7 @@
 from jujubeyard import errors
 from jujubeyard.node import countdown
 from jujubeyard.node import journal
+from jujubeyard.node import kept_drains
 from jujubeyard.node import kept_evacuations
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import table
@@ -74,6 +75,7 @@
         self._kept_evacuations = kept_evacuations.KeptEvacuations(
             self.registry, log
         )
+        self._kept_drains = kept_drains.KeptDrains(self.registry, log)
         self._keep_countdown = countdown.Countdown(
             KEEP_SECONDS, self._end_keeping
         )
@@ -93,6 +95,7 @@
     def begin_era(self) -> None:
         """Keeps what the store may have lost: it came from an older copy."""
         self._kept_evacuations.begin_era()
+        self._kept_drains.begin_era()
         self._keep_countdown.restart()
 
     def _end_keeping(self) -> None:
@@ -193,6 +196,7 @@
             for change in decoded
             if isinstance(change, changes.TargetListed)
         }
+        self._kept_drains.begin_snapshot()
         self.registry.keep_only(listed, time.monotonic(), self._changed_at)
 
     def _end_unlisted_evacuations(self, decoded: list[changes.Change]) -> None:
@@ -275,23 +279,25 @@
     @_apply.register
     def _(self, change: changes.TargetListed) -> None:
         now = time.monotonic()
-        current = self.registry.targets.get(change.listing.target_id)
+        listing = self._kept_drains.correct(change.listing)
+        current = self.registry.targets.get(listing.target_id)
         before = current.listing if current is not None else None
-        self.registry.put(change.listing, now, self._changed_at)
-        if before is None or _differs(before, change.listing):
+        self.registry.put(listing, now, self._changed_at)
+        if before is None or _differs(before, listing):
             self._log.log_event(
                 "target listed",
-                target=change.listing.target_id,
-                service=change.listing.service,
-                address=change.listing.address,
-                draining=change.listing.draining,
-                cold_seconds=change.listing.cold_seconds,
-                born=change.listing.born,
+                target=listing.target_id,
+                service=listing.service,
+                address=listing.address,
+                draining=listing.draining,
+                cold_seconds=listing.cold_seconds,
+                born=listing.born,
             )
 
     @_apply.register
     def _(self, change: changes.TargetRemoved) -> None:
         now = time.monotonic()
+        self._kept_drains.observe_removal(change.target_id)
         self.registry.remove(change.target_id, now, self._changed_at)
         self._log.log_event("target no longer listed", target=change.target_id)
 
@@ -317,7 +323,11 @@
 
 
 def _differs(before: registry.Listing, after: registry.Listing) -> bool:
-    """Returns whether two listings differ in more than the time left cold."""
-    return (
-        dataclasses.replace(after, cold_seconds=before.cold_seconds) != before
+    """Returns whether two listings differ in what calls depend on.
+
+    The time left cold and the number of the report don't count.
+    """
+    same = dataclasses.replace(
+        after, cold_seconds=before.cold_seconds, seq=before.seq
     )
+    return same != before
--- a/src/jujubeyard/platform/documents.py
+++ b/src/jujubeyard/platform/documents.py
@@ -59,7 +59,6 @@
         document = parse_json_object(body)
         info, status = document["info"], document["status"]
         fields.check_text(info["version"])
-        fields.check_integer(status["seq"])
         return registry.Listing(
             target_id=fields.check_name(key.removeprefix(TARGET_PREFIX)),
             service=fields.check_name(info["service"]),
@@ -69,6 +68,7 @@
             draining=DRAINING_BY_STATE[status["state"]],
             cold_seconds=durations.parse_seconds(status["coldLeft"]),
             born=fields.check_integer(document["born"], minimum=1),
+            seq=fields.check_integer(status["seq"]),
         )
 
 
--- a/src/jujubeyard/targets/registry.py
+++ b/src/jujubeyard/targets/registry.py
@@ -41,6 +41,7 @@
         draining: Whether it is about to shut down.
         cold_seconds: Time for which it stays cold from now on.
         born: Start of its current incarnation, in Unix milliseconds.
+        seq: Number that grows with each of its reports in one incarnation.
     """
 
     target_id: str
@@ -51,6 +52,7 @@
     draining: bool
     cold_seconds: float
     born: int
+    seq: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/node/test_store_return.py
+++ b/tests/node/test_store_return.py
@@ -72,3 +72,18 @@
         [(before, [view_steps.EVACUATION]), (after, None)],
     )
     assert ("z1" in view.registry.evacuated_since) is is_kept
+
+
+@pytest.mark.parametrize(("before", "after", "is_kept"), ERAS)
+async def test_drain_that_the_store_loses(before, after, is_kept):
+    view = view_steps.make_view()
+    await _follow(
+        view,
+        documents.TARGET_PREFIX,
+        [
+            (before, [view_steps.make_target()]),
+            (after, [view_steps.make_target()]),
+        ],
+        [(before, [view_steps.make_target("draining", 5)]), (after, None)],
+    )
+    assert bool(view.registry.targets["t1"].draining_since) is is_kept
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -138,6 +138,7 @@
     assert listing.target_id == "i-1"
     assert listing.cold_seconds == 1.5
     assert listing.born == 1776851943024
+    assert listing.seq == 4
     assert not listing.draining
 
 
