Withhold listings that the store has from an older copy only

Callers saw: a target whose entry had been removed shortly before the store went back to an older copy is listed in the copy, so that it gets calls and keys again until its entry is removed once more or runs out (DRAIN). Likewise the copy may list an earlier incarnation of a target: the current one then loses what the node knows of it, and calls for its keys find no owner. Found by reading.

Cause: a listing that is read replaces the known state, whatever its age.

Change: for 10 s from the beginning of an era, a listing that is read is withheld if it is of an earlier incarnation, or if the target's entry had been removed before and `seq` isn't higher. `removed_at` stays as it was. It is used once a change or a higher `seq` tells that it was written since, as a newer incarnation, or if it is still listed after 10 s. A removal in the wake of an outage of the store, or one that is only seen in the first read of an era, may be an expiry or a gap of the copy, and isn't held against a target. Without a new era nothing differs.

--- a/src/jujubeyard/node/cluster_view.py
+++ b/src/jujubeyard/node/cluster_view.py
@@ -12,6 +12,7 @@
 from jujubeyard.node import journal
 from jujubeyard.node import kept_drains
 from jujubeyard.node import kept_evacuations
+from jujubeyard.node import outdated_listings
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import table
 from jujubeyard.routing import config
@@ -76,6 +77,9 @@
             self.registry, log
         )
         self._kept_drains = kept_drains.KeptDrains(self.registry, log)
+        self._outdated_listings = outdated_listings.OutdatedListings(
+            self.registry, log
+        )
         self._keep_countdown = countdown.Countdown(
             KEEP_SECONDS, self._end_keeping
         )
@@ -96,11 +100,15 @@
         """Keeps what the store may have lost: it came from an older copy."""
         self._kept_evacuations.begin_era()
         self._kept_drains.begin_era()
+        self._outdated_listings.begin_era()
         self._keep_countdown.restart()
 
     def _end_keeping(self) -> None:
         """Applies what the store has had since the era began."""
+        self._changed_at = time.monotonic()
         self._kept_evacuations.end()
+        for listing in self._outdated_listings.end():
+            self._apply(changes.TargetListed(listing))
 
     def node_count(self) -> int:
         """Returns the number of listed nodes, but at least one."""
@@ -178,7 +186,7 @@
         self._changed_at = time.monotonic() - age_seconds
         decoded = [self._decode_item(item) for item in items]
         if prefix == self.prefixes.targets:
-            self._remove_unlisted_targets(decoded)
+            decoded = self._remove_outdated_targets(decoded)
         elif prefix == self.prefixes.operator:
             self._end_unlisted_evacuations(decoded)
         elif prefix == self.prefixes.fleet:
@@ -190,14 +198,25 @@
             if self._leadership.key not in keys:
                 self._leadership.observe_absence()
 
-    def _remove_unlisted_targets(self, decoded: list[changes.Change]) -> None:
+    def _remove_outdated_targets(
+        self, decoded: list[changes.Change]
+    ) -> list[changes.Change]:
+        """Removes unlisted targets; returns the changes yet to be applied."""
         listed = {
             change.listing.target_id
             for change in decoded
             if isinstance(change, changes.TargetListed)
         }
         self._kept_drains.begin_snapshot()
-        self.registry.keep_only(listed, time.monotonic(), self._changed_at)
+        self._outdated_listings.keep_only(
+            listed, time.monotonic(), self._changed_at
+        )
+        return [
+            change
+            for change in decoded
+            if not isinstance(change, changes.TargetListed)
+            or not self._outdated_listings.is_outdated(change.listing)
+        ]
 
     def _end_unlisted_evacuations(self, decoded: list[changes.Change]) -> None:
         zones = {
@@ -279,6 +298,7 @@
     @_apply.register
     def _(self, change: changes.TargetListed) -> None:
         now = time.monotonic()
+        self._outdated_listings.observe_listing(change.listing)
         listing = self._kept_drains.correct(change.listing)
         current = self.registry.targets.get(listing.target_id)
         before = current.listing if current is not None else None
@@ -298,7 +318,7 @@
     def _(self, change: changes.TargetRemoved) -> None:
         now = time.monotonic()
         self._kept_drains.observe_removal(change.target_id)
-        self.registry.remove(change.target_id, now, self._changed_at)
+        self._outdated_listings.remove(change.target_id, now, self._changed_at)
         self._log.log_event("target no longer listed", target=change.target_id)
 
     @_apply.register
--- a/tests/node/test_kept_drains.py
+++ b/tests/node/test_kept_drains.py
@@ -107,6 +107,16 @@
             ["another incarnation"],
             id="another incarnation",
         ),
+        pytest.param(
+            [
+                view_steps.go_back,
+                view_steps.read_targets(view_steps.make_target(born=6)),
+            ],
+            True,
+            0,
+            [],
+            id="earlier incarnation",
+        ),
         pytest.param(
             [
                 view_steps.go_back,
--- a/tests/node/test_store_return.py
+++ b/tests/node/test_store_return.py
@@ -87,3 +87,18 @@
         [(before, [view_steps.make_target("draining", 5)]), (after, None)],
     )
     assert bool(view.registry.targets["t1"].draining_since) is is_kept
+
+
+@pytest.mark.parametrize(("before", "after", "is_kept"), ERAS)
+async def test_removal_that_the_store_loses(before, after, is_kept):
+    view = view_steps.make_view()
+    await _follow(
+        view,
+        documents.TARGET_PREFIX,
+        [
+            (before, [view_steps.make_target()]),
+            (after, [view_steps.make_target()]),
+        ],
+        [(before, [view_steps.NO_TARGET]), (after, None)],
+    )
+    assert bool(view.registry.targets["t1"].removed_at) is is_kept
