--- a/src/jujubeyard/node/cluster_view.py
+++ b/src/jujubeyard/node/cluster_view.py
@@ -8,7 +8,11 @@
 import time
 
 from jujubeyard import errors
+from jujubeyard.node import countdown
 from jujubeyard.node import journal
+from jujubeyard.node import kept_drains
+from jujubeyard.node import kept_evacuations
+from jujubeyard.node import outdated_listings
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import table
 from jujubeyard.routing import config
@@ -19,6 +23,10 @@
 
 NODES_PREFIX = "nodes/"
 
+KEEP_SECONDS = 10.0
+"""Time until the operator and the targets have written again what the store
+lost when it came back from an older copy."""
+
 MAX_UNREADABLE_LINES = 20
 """Largest number of log lines on unreadable entries of one configuration."""
 
@@ -65,6 +73,16 @@
         self._store_lost_at = time.monotonic()
         self.routes: match.RouteTable | None = None
         self.registry = registry.Registry()
+        self._kept_evacuations = kept_evacuations.KeptEvacuations(
+            self.registry, log
+        )
+        self._kept_drains = kept_drains.KeptDrains(self.registry, log)
+        self._outdated_listings = outdated_listings.OutdatedListings(
+            self.registry, log
+        )
+        self._keep_countdown = countdown.Countdown(
+            KEEP_SECONDS, self._end_keeping
+        )
         self.tables: dict[str, table.ShardTable] = {}
         self.nodes: set[str] = set()
 
@@ -78,6 +96,20 @@
         """Sets how to find out whether a newer configuration is known."""
         self.is_configuration_outdated = is_outdated
 
+    def begin_era(self) -> None:
+        """Keeps what the store may have lost: it came from an older copy."""
+        self._kept_evacuations.begin_era()
+        self._kept_drains.begin_era()
+        self._outdated_listings.begin_era()
+        self._keep_countdown.restart()
+
+    def _end_keeping(self) -> None:
+        """Applies what the store has had since the era began."""
+        self._changed_at = time.monotonic()
+        self._kept_evacuations.end()
+        for listing in self._outdated_listings.end():
+            self._apply(changes.TargetListed(listing))
+
     def node_count(self) -> int:
         """Returns the number of listed nodes, but at least one."""
         return max(1, len(self.nodes))
@@ -154,7 +186,7 @@
         self._changed_at = time.monotonic() - age_seconds
         decoded = [self._decode_item(item) for item in items]
         if prefix == self.prefixes.targets:
-            self._remove_unlisted_targets(decoded)
+            decoded = self._remove_outdated_targets(decoded)
         elif prefix == self.prefixes.operator:
             self._end_unlisted_evacuations(decoded)
         elif prefix == self.prefixes.fleet:
@@ -166,13 +198,25 @@
             if self._leadership.key not in keys:
                 self._leadership.observe_absence()
 
-    def _remove_unlisted_targets(self, decoded: list[changes.Change]) -> None:
+    def _remove_outdated_targets(
+        self, decoded: list[changes.Change]
+    ) -> list[changes.Change]:
+        """Removes unlisted targets; returns the changes yet to be applied."""
         listed = {
             change.listing.target_id
             for change in decoded
             if isinstance(change, changes.TargetListed)
         }
-        self.registry.keep_only(listed, time.monotonic(), self._changed_at)
+        self._kept_drains.begin_snapshot()
+        self._outdated_listings.keep_only(
+            listed, time.monotonic(), self._changed_at
+        )
+        return [
+            change
+            for change in decoded
+            if not isinstance(change, changes.TargetListed)
+            or not self._outdated_listings.is_outdated(change.listing)
+        ]
 
     def _end_unlisted_evacuations(self, decoded: list[changes.Change]) -> None:
         zones = {
@@ -180,8 +224,7 @@
             for change in decoded
             if isinstance(change, changes.ZoneChanged)
         }
-        for zone in self.registry.evacuated_since.keys() - zones:
-            self.registry.set_evacuated(zone, False, self._changed_at)
+        self._kept_evacuations.apply_snapshot(zones, self._changed_at)
 
     def apply_changes(
         self,
@@ -243,6 +286,7 @@
 
     @_apply.register
     def _(self, change: changes.ZoneChanged) -> None:
+        self._kept_evacuations.observe_change(change.zone, change.evacuated)
         self.registry.set_evacuated(
             change.zone, change.evacuated, self._changed_at
         )
@@ -254,24 +298,27 @@
     @_apply.register
     def _(self, change: changes.TargetListed) -> None:
         now = time.monotonic()
-        current = self.registry.targets.get(change.listing.target_id)
+        self._outdated_listings.observe_listing(change.listing)
+        listing = self._kept_drains.correct(change.listing)
+        current = self.registry.targets.get(listing.target_id)
         before = current.listing if current is not None else None
-        self.registry.put(change.listing, now, self._changed_at)
-        if before is None or _differs(before, change.listing):
+        self.registry.put(listing, now, self._changed_at)
+        if before is None or _differs(before, listing):
             self._log.log_event(
                 "target listed",
-                target=change.listing.target_id,
-                service=change.listing.service,
-                address=change.listing.address,
-                draining=change.listing.draining,
-                cold_seconds=change.listing.cold_seconds,
-                born=change.listing.born,
+                target=listing.target_id,
+                service=listing.service,
+                address=listing.address,
+                draining=listing.draining,
+                cold_seconds=listing.cold_seconds,
+                born=listing.born,
             )
 
     @_apply.register
     def _(self, change: changes.TargetRemoved) -> None:
         now = time.monotonic()
-        self.registry.remove(change.target_id, now, self._changed_at)
+        self._kept_drains.observe_removal(change.target_id)
+        self._outdated_listings.remove(change.target_id, now, self._changed_at)
         self._log.log_event("target no longer listed", target=change.target_id)
 
     @_apply.register
@@ -296,7 +343,11 @@
 
 
 def _differs(before: registry.Listing, after: registry.Listing) -> bool:
-    """Returns whether two listings differ in more than the time left cold."""
-    return (
-        dataclasses.replace(after, cold_seconds=before.cold_seconds) != before
+    """Returns whether two listings differ in what calls depend on.
+
+    The time left cold and the number of the report don't count.
+    """
+    same = dataclasses.replace(
+        after, cold_seconds=before.cold_seconds, seq=before.seq
     )
+    return same != before
