--- a/tests/node/test_store_return.py
+++ b/tests/node/test_store_return.py
@@ -29,12 +29,12 @@
 
     async def read_all(self, prefix, transfer=None):
         era, items = self.reads.pop(0)
-        self._tracker.observe(era, eras.Source.STORE)
+        self._tracker.observe(era)
         return result.Ok(interface.ItemBatch(tuple(items), 10))
 
     async def watch(self, prefix, after, seconds, transfer=None):
         era, items = self.events.pop(0)
-        self._tracker.observe(era, eras.Source.STORE)
+        self._tracker.observe(era)
         if items is None:
             failure = interface.Failure(interface.FailureKind.COMPACTED, "")
             return result.Err(failure)
@@ -122,9 +122,9 @@
 async def test_node_tells_its_view_of_eras():
     journal = fakes.RecordingJournal()
     node = core.Node(SETTINGS, journal)
-    node._era_tracker.observe(3, eras.Source.STORE)
+    node._era_tracker.observe(3)
     await view_steps.read_zones(view_steps.EVACUATION)(node._view)
-    node._era_tracker.observe(4, eras.Source.STORE)
+    node._era_tracker.observe(4)
     await view_steps.read_zones()(node._view)
     for session in (
         node._store_session,
