Close the gaps in the proofs of who holds keys after a return

A review by someone new to the work showed, with scratch tests on, orders of events in which two targets hold the same keys.

- "Last leader" was the last one that this node had seen; a node that had led long before skipped the wait for targets that it has never heard of, and so did one whose first adoption was cut off by a second return.
All wait now unless they are continuous, 2.5 s instead of 2.0, and until their listings of targets are of the current era.
- A leader of the version before may act between a return and the next election: a node that sees another's leader item is not continuous any more.
- No term moves keys in its first 2 s; before, a node that had led before the leader before did.
Adoption without a return in the node's time (a roll, a new service) doesn't wait for targets that don't answer.
- A target that started again under its name isn't waited for in its former incarnation.
- Nodes that are lost with a copy count on until they list themselves again: the count bounds connections, retries and calls to cold targets.
- The last leader campaigns at once also if its own renewal told the era; a fresh node waits 0.6 s like others.

Tests of ownership, store and the view pass.

--- a/src/jujubeyard/node/cluster_view.py
+++ b/src/jujubeyard/node/cluster_view.py
@@ -85,6 +85,8 @@
         )
         self.tables: dict[str, table.ShardTable] = {}
         self.nodes: set[str] = set()
+        self._listed_nodes: set[str] = set()
+        self._kept_nodes: set[str] = set()
 
     def set_leadership(self, leadership: leader.Leadership) -> None:
         """Sets the leadership to notify of changes of the leader item."""
@@ -101,12 +103,15 @@
         self._kept_evacuations.begin_era()
         self._kept_drains.begin_era()
         self._outdated_listings.begin_era()
+        self._kept_nodes = set(self.nodes)
         self._keep_countdown.restart()
 
     def _end_keeping(self) -> None:
         """Applies what the store has had since the era began."""
         self._changed_at = time.monotonic()
         self._kept_evacuations.end()
+        self._kept_nodes = set()
+        self._update_nodes()
         for listing in self._outdated_listings.end():
             self._apply(changes.TargetListed(listing))
 
@@ -190,7 +195,8 @@
         elif prefix == self.prefixes.operator:
             self._end_unlisted_evacuations(decoded)
         elif prefix == self.prefixes.fleet:
-            self.nodes = set()
+            self._listed_nodes = set()
+            self._update_nodes()
         for change in decoded:
             self._apply(change)
         keys = {item.key for item in items}
@@ -337,9 +343,16 @@
 
     def _apply_node(self, node: str, item: interface.Item) -> None:
         if item.value is None:
-            self.nodes.discard(node)
+            self._listed_nodes.discard(node)
         else:
-            self.nodes.add(node)
+            self._listed_nodes.add(node)
+        self._update_nodes()
+
+    def _update_nodes(self) -> None:
+        """Counts in the nodes that the store lost and that list themselves."""
+        self.nodes = self._listed_nodes
+        if self._kept_nodes:
+            self.nodes = self._listed_nodes | self._kept_nodes
 
 
 def _differs(before: registry.Listing, after: registry.Listing) -> bool:
--- a/src/jujubeyard/node/tasks.py
+++ b/src/jujubeyard/node/tasks.py
@@ -260,11 +260,14 @@
         """Starts a coordinator once a table of an earlier era may be used."""
         service, term = stored.service, self._term
         hold_seconds = adoption.latest_doubt(0.0, self._max_hold_seconds)
+        is_continuous = self._leadership.is_continuous()
+        complete = self._complete_tables.get(service)
         memory = adoption.Memory(
             self._view.tables.get(service),
-            self._complete_tables.get(service),
-            self._doubts.get(service),
+            complete if is_continuous else None,
+            self._doubts.get(service) if is_continuous else None,
             lambda: self._inputs.possible_holders(service, hold_seconds),
+            self._has_read_targets,
         )
         try:
             adopted = await running.run(stored, memory)
@@ -280,6 +283,15 @@
         if adopted is not None and self._leadership.term == term:
             self._start_coordinator(adopted)
 
+    def _has_read_targets(self) -> bool:
+        """Returns whether targets were read in the current era of the store."""
+        prefix = self._view.prefixes.targets
+        return all(
+            revisions.era_of(each.revision or 0) == self._era_tracker.current
+            for each in self._mirrors
+            if each.prefix == prefix
+        )
+
     def _start_coordinator(self, stored: table.ShardTable) -> None:
         if stored.shards:
             self._client.publish(stored)
--- a/src/jujubeyard/ownership/adoption.py
+++ b/src/jujubeyard/ownership/adoption.py
@@ -19,9 +19,9 @@
 from jujubeyard.store import eras
 from jujubeyard.store import revisions
 
-RELIST_SECONDS = 2.0
+RELIST_SECONDS = 2.5
 """Time from the return of the store until the entries of targets that it lost
-are written again."""
+are written and read again."""
 
 ASK_SECONDS = 1.0
 """Timeout of a release. It is answered once calls on its keys have ended."""
@@ -65,12 +65,15 @@
             time, if this node was in doubt until the store went back and has
             sent none; else None.
         targets: Targets that may hold keys.
+        has_read_targets: Returns whether the listings of targets were read in
+            the current era.
     """
 
     newest: table.ShardTable | None
     complete: CompleteTable | None
     doubt_until: float | None
     targets: collections.abc.Callable[[], collections.abc.Iterable[table.Owner]]
+    has_read_targets: collections.abc.Callable[[], bool]
 
 
 def is_needed(
@@ -89,8 +92,8 @@
         return False
     if stored.written_era != eras.UNKNOWN_ERA:
         return stored.written_era != era_tracker.current
-    return clock.boottime() < latest_doubt(
-        era_tracker.learned_at, max_hold_seconds
+    return clock.boottime() < _latest_doubt_without_era(
+        era_tracker, max_hold_seconds
     )
 
 
@@ -107,6 +110,25 @@
     return holds.latest_expiry(last_grant_at, max_hold_seconds)
 
 
+def _latest_doubt_without_era(
+    era_tracker: eras.EraTracker, max_hold_seconds: float
+) -> float:
+    """Returns until when a table that tells no era is in doubt, in boot time.
+
+    Without a return of the store in its time, a node that has just started asks
+    the targets, but doesn't wait for those that don't answer: the table is one
+    of a version that knows no eras, or the service is new.
+
+    Args:
+        era_tracker: Knows the era of the store.
+        max_hold_seconds: Longest grant that targets accept.
+    """
+    learned_at = era_tracker.learned_at
+    if era_tracker.changes:
+        return latest_doubt(learned_at, max_hold_seconds)
+    return learned_at + RELIST_SECONDS + ASK_SECONDS
+
+
 class Adoption:
     """Makes a table of an earlier era the table of the current term.
 
@@ -139,6 +161,7 @@
         self._term = leadership.term
         self._learned_at = era_tracker.learned_at
         since = max(leadership.won_at, self._learned_at)
+        self._max_hold_seconds = max_hold_seconds
         self.doubt_until = latest_doubt(since, max_hold_seconds)
 
     async def run(
@@ -156,7 +179,11 @@
         """
         started_at = clock.boottime()
         adopted = self._choose(stored, memory)
-        if memory.doubt_until is not None:
+        if stored.written_era == eras.UNKNOWN_ERA:
+            self.doubt_until = _latest_doubt_without_era(
+                self._era_tracker, self._max_hold_seconds
+            )
+        elif memory.doubt_until is not None:
             self.doubt_until = memory.doubt_until
         if memory.complete is None:
             proof = await self._ask_all(adopted, stored, memory)
@@ -201,12 +228,15 @@
         memory: Memory,
     ) -> Proof | None:
         """Clears the doubt about all targets that may hold keys."""
-        if not self._leadership.is_last_leader:
-            await _sleep_until(self._learned_at + RELIST_SECONDS)
+        await _sleep_until(self._learned_at + RELIST_SECONDS)
+        while not memory.has_read_targets() and self._is_leading():
+            await asyncio.sleep(ASK_PAUSE_SECONDS)
         owners = {shard.owner for shard in (*adopted.shards, *stored.shards)}
-        return await self._clear_doubt(
-            adopted, lambda: owners | set(memory.targets())
-        )
+
+        def find_targets() -> set[table.Owner]:
+            return remove_ended(owners | set(memory.targets()))
+
+        return await self._clear_doubt(adopted, find_targets)
 
     async def _clear_doubt(
         self,
@@ -331,6 +361,23 @@
     return ranges
 
 
+def remove_ended(targets: set[table.Owner]) -> set[table.Owner]:
+    """Returns targets without those that have started again since.
+
+    A start under a target's name shows that its process before has ended.
+
+    Args:
+        targets: Targets, maybe several incarnations of one.
+    """
+    latest: dict[str, int] = {}
+    for target in targets:
+        born = max(latest.get(target.target_id, 0), target.born)
+        latest[target.target_id] = born
+    return {
+        target for target in targets if target.born == latest[target.target_id]
+    }
+
+
 def _serves_same_name(owner: table.Owner, target: table.Owner) -> bool:
     return (
         owner.target_id == target.target_id and owner.address == target.address
--- a/src/jujubeyard/ownership/leader.py
+++ b/src/jujubeyard/ownership/leader.py
@@ -23,9 +23,8 @@
 knows more of the tables than others."""
 
 TAKEOVER_SECONDS = 2.0
-"""Time from the election of another node than the last leader until keys move.
-If the store goes back until then, the last leader knows all moves, although its
-lease had run out while the store was away."""
+"""Time from an election until keys move. If the store goes back until then, the
+leader before knows all moves, although its lease ran out in its absence."""
 
 MAX_FENCES_USED = fences.FENCES_PER_TERM - (1 << 16)
 """Number of fences after which a term ends. The rest is for what is still sent
@@ -60,6 +59,7 @@
         has_lasted: Whether the lease of that term had certainly not run out.
         is_last_leader: Whether this node was the last known leader when the
             current era of the store began.
+        has_seen_other: Whether another node's leader item was seen since then.
         won_at: Start of the term, in boot time (`clock.boottime`).
         renewal_failed: Whether the latest renewal of the lease failed.
         address: Address at which the last known leader receives reports; may
@@ -92,6 +92,7 @@
         self.continuous_term = 0
         self.has_lasted = False
         self.is_last_leader = False
+        self.has_seen_other = False
         era_tracker.add_listener(self._begin_era)
         self._store = store
         self._key = prefix + LEADER_KEY
@@ -121,6 +122,10 @@
         """Returns whether this node leads and its lease can't have expired."""
         return bool(self.term) and clock.boottime() < self._valid_until
 
+    def is_continuous(self) -> bool:
+        """Returns whether nobody else has led since `continuous_term`."""
+        return bool(self.continuous_term) and not self.has_seen_other
+
     def may_move(self) -> bool:
         """Returns whether keys may get other owners in this term already."""
         return clock.boottime() >= self._moves_from
@@ -152,6 +157,8 @@
             self._vacant.set()
             return
         self._vacant.clear()
+        if self.address != self._own_address:
+            self.has_seen_other = True
         if self.term and item.created_revision > self.term:
             self._end_term("another node leads")
 
@@ -167,6 +174,8 @@
                 await self._renew()
                 if self._next_fence >= MAX_FENCES_USED:
                     await self.resign()
+                if not self.term:
+                    continue
                 await self._pause(RENEW_SECONDS)
                 continue
             await self._vacant.wait()
@@ -194,11 +203,13 @@
         is_next_era = revisions.era_of(self.term) + 1 == era
         is_unmoved = clock.boottime() < self._valid_until + TAKEOVER_SECONDS
         is_continuous = is_unmoved and is_next_era
-        self.continuous_term = self.term if is_continuous else 0
-        self.has_lasted = is_continuous and self.is_leader()
-        self.is_last_leader = self.address == self._own_address
+        has_lasted = is_continuous and self.is_leader()
+        continuous_term = self.term if is_continuous else 0
+        self.has_seen_other = False
+        self.is_last_leader = is_continuous or self.address == self._own_address
         if self.term:
             self._end_term("the store went back")
+        self.continuous_term, self.has_lasted = continuous_term, has_lasted
         if self.is_last_leader:
             self._vacant.set()
         self._woken.set()
@@ -213,7 +224,8 @@
 
     async def _wait_for_last_leader(self) -> None:
         """Lets the last leader of the era before campaign first."""
-        if not self._era_tracker.changes or self.is_last_leader:
+        has_eras = self._era_tracker.current != eras.UNKNOWN_ERA
+        if not has_eras or self.is_last_leader:
             return
         campaign_at = self._era_tracker.learned_at + SUCCESSION_SECONDS
         await asyncio.sleep(max(0.0, campaign_at - clock.boottime()))
@@ -229,7 +241,6 @@
     async def _campaign(self) -> bool:
         """Tries to become the leader; returns whether this node was elected."""
         era = self._era_tracker.current
-        is_last = self.address == self._own_address
         entry = await self._era_entries.ensure()
         if entry.is_err():
             return False
@@ -261,7 +272,7 @@
         if revisions.era_of(outcome.ok_value) != entry.ok_value.era:
             await self._store.end_lease(lease.ok_value)
             return False
-        self._begin_term(outcome.ok_value, entry.ok_value, is_last)
+        self._begin_term(outcome.ok_value, entry.ok_value)
         self._lease = lease.ok_value
         self._valid_until = sent_at + LEASE_SECONDS - CLOCK_MARGIN_SECONDS
         return True
@@ -283,18 +294,17 @@
             return 0
         if not self._is_left_over(item):
             self._vacant.clear()
+            self.has_seen_other = True
             return None
         return item.revision
 
-    def _begin_term(
-        self, term: int, entry: fences.EraEntry, is_last_leader: bool
-    ) -> None:
+    def _begin_term(self, term: int, entry: fences.EraEntry) -> None:
         self._entry = entry
         self._next_fence = 0
         self._vacant.clear()
         self.won_at = clock.boottime()
         self._moves_from = self.won_at
-        if entry.era != eras.UNKNOWN_ERA and not is_last_leader:
+        if entry.era != eras.UNKNOWN_ERA:
             self._moves_from += TAKEOVER_SECONDS
         self.renewal_failed = False
         self.term = term
@@ -331,4 +341,5 @@
             reason=reason,
         )
         self.term = 0
+        self.continuous_term = 0
         self._valid_until = 0.0
