--- a/tests/store/test_eras.py
+++ b/tests/store/test_eras.py
@@ -67,3 +67,17 @@
         await client.renew_lease(1)
     await session.close()
     assert tracker.current == era
+
+
+@pytest.mark.parametrize(("era", "is_taken"), [(6, False), (7, True)])
+async def test_answer_of_an_earlier_era_is_dropped(era, is_taken):
+    """It left the store before the answer that named the current era."""
+    head = f"HTTP/1.1 200 OK\r\nStore-Era: {era}\r\nContent-Length: 2"
+    tracker = eras.EraTracker(fakes.RecordingJournal())
+    tracker.observe(8)
+    session = connections.make_session(headers.NAMES.call_id, force_close=False)
+    async with raw_server.RawServer([f"{head}\r\n\r\n{{}}".encode()]) as server:
+        client = store.PlatformStore(server.address, session, 1.0, 1.0, tracker)
+        outcome = await client.renew_lease(1)
+    await session.close()
+    assert outcome.is_ok() is is_taken
