--- a/tests/ownership/test_leader_eras.py
+++ b/tests/ownership/test_leader_eras.py
@@ -3,6 +3,7 @@
 import pytest
 
 from jujubeyard import clock
+from jujubeyard.node import protocol
 from jujubeyard.ownership import fences
 from jujubeyard.ownership import leader
 from jujubeyard.ownership import ownership_client
@@ -294,7 +295,7 @@
         assert (await second.entries.ensure()).is_ok()
     late_calls = era_fakes.Adapter(store, second.era_tracker)
     owner = table.Owner("t1", 1, "t1:1")
-    shards = (table.Shard(0, (1 << 32) - 1, owner, 5, ""),)
+    shards = (table.Shard(0, protocol.KEY_COUNT - 1, owner, 5, ""),)
     outcome = await _client(late_calls).write_table(
         table.ShardTable("desk", shards, 0), conditions, era=1
     )
--- a/tests/utils/era_fakes.py
+++ b/tests/utils/era_fakes.py
@@ -59,26 +59,48 @@
         return await super().watch(prefix, after, seconds, transfer)
 
 
+class Link:
+    """A node's connection to the store, on which nothing waits.
+
+    Subclasses delay calls before they are sent and answers on their way.
+    """
+
+    async def send(self) -> None:
+        """Returns once a call has reached the store."""
+
+    async def deliver(self) -> None:
+        """Returns once an answer has reached the node."""
+
+
 class Adapter:
     """What a node's adapter makes of a store: revisions that hold the era."""
 
-    def __init__(self, store: DrillStore, era_tracker: eras.EraTracker):
+    def __init__(
+        self,
+        store: DrillStore,
+        era_tracker: eras.EraTracker,
+        link: Link | None = None,
+    ):
         self._store = store
         self._era_tracker = era_tracker
+        self._link = link or Link()
 
     async def read_all(self, prefix, transfer=None):
-        return self._finish(await self._store.read_all(prefix), self._pack_all)
+        return await self._call(
+            lambda: self._store.read_all(prefix), self._pack_all
+        )
 
     async def read(self, key):
-        return self._finish(
-            await self._store.read(key),
+        return await self._call(
+            lambda: self._store.read(key),
             lambda item, era: item and self._pack_item(item, era),
         )
 
     async def watch(self, prefix, after, seconds, transfer=None):
         number = revisions.number_of(after)
-        outcome = await self._store.watch(prefix, number, seconds)
-        return self._finish(outcome, self._pack_all)
+        return await self._call(
+            lambda: self._store.watch(prefix, number, seconds), self._pack_all
+        )
 
     async def write(self, conditions, puts):
         bare_conditions = [
@@ -89,25 +111,31 @@
             interface.Put(p.key, p.value, revisions.number_of(p.lease))
             for p in puts
         ]
-        return self._finish(
-            await self._store.write(bare_conditions, bare_puts), _pack
+        return await self._call(
+            lambda: self._store.write(bare_conditions, bare_puts), _pack
         )
 
     async def open_lease(self, seconds):
-        return self._finish(await self._store.open_lease(seconds), _pack)
+        return await self._call(lambda: self._store.open_lease(seconds), _pack)
 
     async def renew_lease(self, lease):
         number = revisions.number_of(lease)
-        return self._finish(await self._store.renew_lease(number))
+        return await self._call(lambda: self._store.renew_lease(number))
 
     async def end_lease(self, lease):
         number = revisions.number_of(lease)
-        return self._finish(await self._store.end_lease(number))
-
-    def _finish(self, outcome, pack=lambda value, era: value):
-        era = self._store.era
-        if not self._store.is_down:
+        return await self._call(lambda: self._store.end_lease(number))
+
+    async def _call(self, call, pack=lambda value, era: value):
+        await self._link.send()
+        outcome = await call()
+        era, is_answered = self._store.era, not self._store.is_down
+        await self._link.deliver()
+        if is_answered:
             self._era_tracker.observe(era)
+        if era < self._era_tracker.current:
+            kind = interface.FailureKind.UNKNOWN
+            return result.Err(interface.Failure(kind, "earlier era"))
         return outcome.map(lambda value: pack(value, era))
 
     def _pack_all(self, batch, era):
@@ -138,10 +166,15 @@
         leadership: Its leadership.
     """
 
-    def __init__(self, store: DrillStore, address: str = "10.0.0.1:7"):
+    def __init__(
+        self,
+        store: DrillStore,
+        address: str = "10.0.0.1:7",
+        link: Link | None = None,
+    ):
         self.log = fakes.RecordingJournal()
         self.era_tracker = eras.EraTracker(self.log)
-        adapter = Adapter(store, self.era_tracker)
+        adapter = Adapter(store, self.era_tracker, link)
         self.store = era_store.EraStore(adapter, self.era_tracker)
         self.entries = fences.EraEntries(
             self.store, self.era_tracker, ERAS_PREFIX, TABLES_PREFIX
--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -142,10 +142,15 @@
     return result.Err(interface.Failure(kind, "fake"))
 
 
+SAMPLE_KEYS = tuple(first for first, _ in table.split_key_space(4))
+"""Keys that tests look at, beside the first ones of shards."""
+
+
 class FakeTarget:
-    """A target that holds shards under fences, as the platform's targets do.
+    """A target that holds keys under fences, as the platform's targets do.
 
-    Shards are identified by their first key.
+    Shards are identified by their first key; a request for a range covers all
+    sample keys in it.
 
     Attributes:
         owner: Owner record of the target in the router's shard tables.
@@ -182,23 +187,34 @@
     def grant(
         self, grant: target_requests.GrantRequest, now: float
     ) -> target_requests.Reply:
-        if self.highest_fences.get(grant.first, 0) > grant.fence:
+        keys = covered_keys(grant)
+        if any(self.highest_fences.get(key, 0) > grant.fence for key in keys):
             return target_requests.Reply(409, "", None)
-        self.highest_fences[grant.first] = grant.fence
-        self.held_until[grant.first] = now + grant.hold_seconds
         self.granted_fences.append(grant.fence)
-        self.fences_by_shard.setdefault(grant.first, []).append(grant.fence)
+        for key in keys:
+            self.highest_fences[key] = grant.fence
+            self.held_until[key] = now + grant.hold_seconds
+            self.fences_by_shard.setdefault(key, []).append(grant.fence)
         return target_requests.Reply(200, "", None)
 
     def release(
         self, release: target_requests.ReleaseRequest
     ) -> target_requests.Reply:
-        fence = max(self.highest_fences.get(release.first, 0), release.fence)
-        self.highest_fences[release.first] = fence
-        self.held_until.pop(release.first, None)
+        for key in covered_keys(release):
+            fence = max(self.highest_fences.get(key, 0), release.fence)
+            self.highest_fences[key] = fence
+            self.held_until.pop(key, None)
         return target_requests.Reply(200, "h", None)
 
 
+def covered_keys(
+    request: target_requests.GrantRequest | target_requests.ReleaseRequest,
+) -> set[int]:
+    """Returns the first key of a request and all sample keys in its range."""
+    in_range = (k for k in SAMPLE_KEYS if request.first <= k <= request.last)
+    return {request.first, *in_range}
+
+
 class FakeSession:
     """A session whose connections are never made."""
 
@@ -275,11 +291,13 @@
 
     Attributes:
         available_owners: Owners offered as candidates.
+        removed_owners: Owners listed until a short time ago.
         pauses: Seconds for which targets want no requests, by target.
     """
 
     def __init__(self):
         self.available_owners: list[table.Owner] = []
+        self.removed_owners: list[table.Owner] = []
         self.pauses: dict[str, float] = {}
 
     def candidates(self, service: str) -> list[planner.Candidate]:
@@ -287,6 +305,11 @@
             planner.Candidate(owner, 1.0) for owner in self.available_owners
         ]
 
+    def possible_holders(
+        self, service: str, hold_seconds: float
+    ) -> list[table.Owner]:
+        return [*self.available_owners, *self.removed_owners]
+
     def is_replaced(self, service: str, owner: table.Owner) -> bool:
         return any(
             other.address == owner.address and other != owner
