Ask targets whose entry was lost, also as the leader of before

Two targets held a key in a play: a leader is frozen for 5 s, another one leads and grants a key to a target that was listed meanwhile, the store comes back from a copy without the leader and the target, and the first node resumes. Cause: it takes itself for the leader of before, so that the adoption asked the targets that it knows at once, and not the one whose entry is written again 0.5 s later. The second proof now begins 2 s after the new era on any node; the first one, of a leader whose lease can't have run out, waits for nothing as before.

Callers wait up to 2 s longer for keys that must move if the store was away for longer than the lease; all others are held on.

Evidence: test_leader_that_was_frozen_asks_targets_whose_entry_was_lost failed before (holders a and c) and passes; it and test_target_whose_entry_was_lost_is_asked fail without the wait. All of test_adoption.py passes. No soak was run on it.

--- a/src/jujubeyard/ownership/adoption.py
+++ b/src/jujubeyard/ownership/adoption.py
@@ -176,8 +176,7 @@
         Returns:
             What proves it; None if the term has ended.
         """
-        if not self._leadership.is_last_leader:
-            await _sleep_until(self._learned_at + RELIST_SECONDS)
+        await _sleep_until(self._learned_at + RELIST_SECONDS)
         fence = self._leadership.allocate_fence()
         owners = {shard.owner for shard in (*adopted.shards, *stored.shards)}
         confirmed: set[table.Owner] = set()
--- a/tests/ownership/test_adoption.py
+++ b/tests/ownership/test_adoption.py
@@ -60,11 +60,10 @@
         body = table.encode(self.table(owners).shards, era)
         await self.store.write([], [interface.Put(TABLE_KEY, body)])
 
-    async def lead_after_return(self, was_leader=True):
+    async def lead_after_return(self):
         await self.node.store.read("own/any")
         self.store.go_back(self.store.take_copy())
         await self.node.store.read("own/any")
-        self.leadership.is_last_leader = was_leader
         await self.lead()
 
     async def lead(self):
@@ -258,7 +257,7 @@
 
     async def play(harness):
         await harness.store_table("ab")
-        await harness.lead_after_return(was_leader=False)
+        await harness.lead_after_return()
         harness.grant("c", 0)
         listed = [harness.owners["a"], harness.owners["b"]]
         asyncio.get_running_loop().call_later(
@@ -455,3 +454,34 @@
         (0, shards[1].last),
         (shards[3].first, protocol.KEY_COUNT - 1),
     ]
+
+
+def test_leader_that_was_frozen_asks_targets_whose_entry_was_lost(run):
+    """Another one led meanwhile, of which it doesn't know."""
+
+    async def play(harness):
+        await harness.store_table("ab")
+        await harness.node.store.read("own/any")
+        await harness.lead()
+        harness.leadership.observe(harness.store.items["own/leader"])
+        copy = harness.store.take_copy()
+        await asyncio.sleep(5.0)
+        harness.store.expire(*harness.store.leases)
+        other = era_fakes.Node(harness.store, "n2:7")
+        await other.store.read("own/any")
+        assert await other.leadership._campaign()
+        harness.grant("c", 0, other.leadership.allocate_fence())
+        harness.store.go_back(copy, keeps_leases=False)
+        harness.leadership._valid_until = clock.boottime() - 3.0
+        await harness.node.store.read("own/any")
+        await harness.lead()
+        listed = [harness.owners["a"], harness.owners["b"]]
+        asyncio.get_running_loop().call_later(
+            0.5, listed.append, harness.owners["c"]
+        )
+        adopted, _ = await harness.adopt(listed=listed)
+        fence = harness.leadership.allocate_fence()
+        assert harness.grant("a", 0, fence).status == 200
+        assert harness.holders(0) == {"a"}
+
+    run(play)
