--- a/src/jujubeyard/node/tasks.py
+++ b/src/jujubeyard/node/tasks.py
@@ -265,9 +265,9 @@
         memory = adoption.Memory(
             self._view.tables.get(service),
             complete if is_continuous else None,
-            self._doubts.get(service) if is_continuous else None,
             lambda: self._inputs.possible_holders(service, hold_seconds),
             self._has_read_targets,
+            self._doubts.get(service) if is_continuous else None,
         )
         try:
             adopted = await running.run(stored, memory)
--- a/src/jujubeyard/ownership/adoption.py
+++ b/src/jujubeyard/ownership/adoption.py
@@ -61,19 +61,19 @@
         newest: The table by which it sends calls; None if it has none.
         complete: The table of its own term, if that lasted until the store
             went back; else None.
-        doubt_until: When all grants of earlier leaders have expired, in boot
-            time, if this node was in doubt until the store went back and has
-            sent none; else None.
         targets: Targets that may hold keys.
         has_read_targets: Returns whether the listings of targets were read in
             the current era.
+        doubt_until: When all grants of earlier leaders have expired, in boot
+            time, if this node was in doubt until the store went back and has
+            sent none; else None.
     """
 
     newest: table.ShardTable | None
     complete: CompleteTable | None
-    doubt_until: float | None
     targets: collections.abc.Callable[[], collections.abc.Iterable[table.Owner]]
     has_read_targets: collections.abc.Callable[[], bool]
+    doubt_until: float | None = None
 
 
 def is_needed(
