--- a/tests/utils/fakes.py
+++ b/tests/utils/fakes.py
@@ -128,6 +128,8 @@
         item = interface.Item(put.key, put.value, self.revision, created)
         self.items[put.key] = item
         self._history.append(item)
+        for keys in self.leases.values():
+            keys.discard(put.key)
         if put.lease:
             self.leases[put.lease].add(put.key)
 
