--- a/src/jujubeyard/node/outdated_listings.py
+++ b/src/jujubeyard/node/outdated_listings.py
@@ -42,7 +42,6 @@
         """Ends the comparison; returns the listings withheld until now."""
         self._is_comparing = False
         self._is_snapshot_due = False
-        self._removed_earlier.clear()
         listings = list(self._withheld.values())
         for listing in listings:
             self._settle(listing.target_id, "still listed")
--- a/tests/node/test_kept_drains.py
+++ b/tests/node/test_kept_drains.py
@@ -129,6 +129,18 @@
             [],
             id="again",
         ),
+        pytest.param(
+            [
+                view_steps.go_back,
+                view_steps.change(view_steps.make_target(born=8)),
+                view_steps.change(view_steps.make_target("draining", born=8)),
+                view_steps.read_targets(view_steps.make_target(born=8)),
+            ],
+            True,
+            1,
+            [],
+            id="told late of the era before",
+        ),
     ],
 )
 async def test_draining_target(view, steps, draining, kept, ends):
--- a/tests/node/test_outdated_listings.py
+++ b/tests/node/test_outdated_listings.py
@@ -1,12 +1,16 @@
 """Listings that the store has from an older copy only."""
 
+import dataclasses
 import time
 
 import pytest
 
 from jujubeyard.node import cluster_view
+from jujubeyard.targets import registry
 from tests.utils import view_steps
 
+LISTING = registry.Listing("t1", "desk", "t1:1", "z1", 6, False, 0.0, 7)
+
 
 @pytest.fixture
 def view(monkeypatch):
@@ -185,6 +189,36 @@
             ["written again"],
             id="again once it is written",
         ),
+        pytest.param(
+            [
+                view_steps.go_back,
+                view_steps.read_targets(view_steps.make_target()),
+                view_steps.change(view_steps.make_target()),
+                view_steps.read_targets(view_steps.make_target()),
+            ],
+            True,
+            1,
+            ["written again"],
+            id="written again, then read",
+        ),
+        pytest.param(
+            [view_steps.read_targets(view_steps.make_target(born=6))],
+            True,
+            0,
+            [],
+            id="earlier incarnation, no era",
+        ),
+        pytest.param(
+            [
+                view_steps.go_back,
+                view_steps.wait,
+                view_steps.read_targets(view_steps.make_target(born=6)),
+            ],
+            True,
+            0,
+            [],
+            id="earlier incarnation when the time is over",
+        ),
     ],
 )
 async def test_removed_target(view, steps, available, kept, ends, told_by):
@@ -205,6 +239,7 @@
         assert current is target
         assert current.removed_at == removed_at
     assert view._log.count("target kept as removed") == kept
+    assert not view._log.count("target kept as newer incarnation")
     assert (
         view_steps.find_reasons(view, "target listing no longer withheld")
         == ends
@@ -271,3 +306,38 @@
     assert view_steps.find_reasons(
         view, "target listing no longer withheld"
     ) == ["written again"]
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        pytest.param(
+            [view_steps.go_back, view_steps.change(view_steps.NO_TARGET)],
+            id="told late of the era before",
+        ),
+        pytest.param(
+            [
+                view_steps.go_back,
+                view_steps.wait,
+                view_steps.read_targets(),
+                view_steps.go_back,
+            ],
+            id="read when the time was over",
+        ),
+    ],
+)
+async def test_removal_in_a_later_era_is_kept(view, steps):
+    listed = view_steps.read_targets(view_steps.make_target())
+    for step in [listed, *steps, listed]:
+        await step(view)
+    assert view.registry.targets["t1"].removed_at
+    assert view._log.count("target kept as removed") == 1
+
+
+async def test_forgotten_targets_take_no_memory(view):
+    view.registry.put(dataclasses.replace(LISTING, target_id="t2"), 1.0)
+    view._outdated_listings.remove("t2", 1.0, 1.0)
+    view.registry.purge_removed(registry.RETENTION_SECONDS + 2.0)
+    view.registry.put(LISTING, 70.0)
+    view._outdated_listings.remove("t1", 70.0, 70.0)
+    assert list(view._outdated_listings._removed) == ["t1"]
--- a/tests/node/test_store_return.py
+++ b/tests/node/test_store_return.py
@@ -3,6 +3,8 @@
 import pytest
 import result
 
+from jujubeyard.node import core
+from jujubeyard.node import settings
 from jujubeyard.platform import documents
 from jujubeyard.store import eras
 from jujubeyard.store import health
@@ -102,3 +104,34 @@
         [(before, [view_steps.NO_TARGET]), (after, None)],
     )
     assert bool(view.registry.targets["t1"].removed_at) is is_kept
+
+
+ADDRESS = settings.Address("127.88.0.1", 8391)
+SETTINGS = settings.NodeSettings(
+    node="n1",
+    zone="z1",
+    listen=ADDRESS,
+    readiness=ADDRESS,
+    metrics=ADDRESS,
+    reports=ADDRESS,
+    store=ADDRESS,
+    limits=settings.Limits(1.0, 1.0, 6.0, 10.0, 0.2, 64.0, 1.5, 5.0),
+)
+
+
+async def test_node_tells_its_view_of_eras():
+    journal = fakes.RecordingJournal()
+    node = core.Node(SETTINGS, journal)
+    node._era_tracker.observe(3, eras.Source.STORE)
+    await view_steps.read_zones(view_steps.EVACUATION)(node._view)
+    node._era_tracker.observe(4, eras.Source.STORE)
+    await view_steps.read_zones()(node._view)
+    for session in (
+        node._store_session,
+        node._request_session,
+        node._release_session,
+        node._upstream_client._reusing_session,
+        node._upstream_client._fresh_session,
+    ):
+        await session.close()
+    assert journal.count("evacuation kept") == 1
