Take numbers of leases and revisions of any size

Cause: packs the era above 40 bits, and checked leases by the same bound. The era stands above 64 bits now; datagrams of the kinds without eras take what they took.

Evidence: test_numbers_of_leases_and_revisions_may_be_as_large_as_any fails before for 2^40 and 2^63 - 1.

--- a/src/jujubeyard/node/datagrams.py
+++ b/src/jujubeyard/node/datagrams.py
@@ -233,7 +233,7 @@
 
 
 def _decode_update(
-    service, base, revision, parts, owners, rows
+    max_revision, service, base, revision, parts, owners, rows
 ) -> table.Update:
     decoded_owners = [table.decode_owner(row) for row in owners]
     shards = tuple(
@@ -241,20 +241,25 @@
     )
     return table.Update(
         fields.check_name(service),
-        fields.check_integer(base),
-        fields.check_integer(revision),
+        fields.check_integer(base, maximum=max_revision),
+        fields.check_integer(revision, maximum=max_revision),
         shards,
         fields.check_integer(parts, 1, protocol.KEY_COUNT),
     )
 
 
-def _decode_beacon(tables, items) -> Beacon:
-    return Beacon(_decode_revisions(tables), _decode_revisions(items))
+def _decode_beacon(max_revision, tables, items) -> Beacon:
+    return Beacon(
+        _decode_revisions(tables, max_revision),
+        _decode_revisions(items, max_revision),
+    )
 
 
-def _decode_revisions(latest) -> dict[str, int]:
+def _decode_revisions(latest, max_revision) -> dict[str, int]:
     return {
-        fields.check_name(name): fields.check_integer(revision)
+        fields.check_name(name): fields.check_integer(
+            revision, maximum=max_revision
+        )
         for name, revision in latest.items()
     }
 
@@ -301,10 +306,10 @@
 
 DECODERS = {
     REPORT: _decode_report,
-    UPDATE: _decode_update,
-    BEACON: _decode_beacon,
-    ERA_UPDATE: _decode_update,
-    ERA_BEACON: _decode_beacon,
+    UPDATE: functools.partial(_decode_update, fields.MAX_INTEGER),
+    BEACON: functools.partial(_decode_beacon, fields.MAX_INTEGER),
+    ERA_UPDATE: functools.partial(_decode_update, revisions.MAX_REVISION),
+    ERA_BEACON: functools.partial(_decode_beacon, revisions.MAX_REVISION),
     LOADS: _decode_loads,
     PRESSURE: _decode_pressure,
 }
--- a/src/jujubeyard/platform/store.py
+++ b/src/jujubeyard/platform/store.py
@@ -388,8 +388,7 @@
 
 def _decode_revision(number: object, era: int) -> int:
     """Returns the revision or lease with a number of the store."""
-    checked = fields.check_integer(number, maximum=revisions.MAX_NUMBER)
-    return revisions.pack(era, checked)
+    return revisions.pack(era, fields.check_integer(number))
 
 
 def _decode_item(entry: dict, era: int) -> interface.Item:
--- a/src/jujubeyard/store/revisions.py
+++ b/src/jujubeyard/store/revisions.py
@@ -5,12 +5,11 @@
 greater. In era 0, of a store that doesn't tell its era, it is the number alone.
 """
 
-_ERA_FACTOR = 1 << 40
+_ERA_FACTOR = 1 << 64
 """Greater than all numbers of a store."""
 
-MAX_NUMBER = _ERA_FACTOR - 1
-MAX_ERA = (1 << 23) - 1
-"""Revisions up to its end fit into 63 bits."""
+MAX_ERA = (1 << 31) - 1
+MAX_REVISION = (MAX_ERA + 1) * _ERA_FACTOR - 1
 
 
 def pack(era: int, number: int) -> int:
--- a/tests/node/test_table_eras.py
+++ b/tests/node/test_table_eras.py
@@ -116,7 +116,7 @@
         )
         for number in range(datagrams.MAX_UPDATE_SHARDS)
     )
-    newest = revisions.pack(revisions.MAX_ERA, revisions.MAX_NUMBER)
+    newest = revisions.MAX_REVISION
     update = table.Update("n" * 20, newest - 1, newest, shards, 30)
     assert len(datagrams.encode(update)) <= datagrams.MAX_BYTES
 
--- a/tests/store/test_eras.py
+++ b/tests/store/test_eras.py
@@ -6,7 +6,9 @@
 from jujubeyard.node import metrics
 from jujubeyard.platform import headers
 from jujubeyard.platform import store
+from jujubeyard.store import era_store
 from jujubeyard.store import eras
+from jujubeyard.store import revisions
 from tests.utils import fakes
 from tests.utils import raw_server
 
@@ -81,3 +83,28 @@
         outcome = await client.renew_lease(1)
     await session.close()
     assert outcome.is_ok() is is_taken
+
+
+@pytest.mark.parametrize("head", ["", "\r\nStore-Era: 7"])
+@pytest.mark.parametrize("number", [1, 1 << 40, (1 << 63) - 1])
+async def test_numbers_of_leases_and_revisions_may_be_as_large_as_any(
+    head, number
+):
+    body = f'{{"lease": {number}, "revision": {number}}}'
+    answer = (
+        f"HTTP/1.1 200 OK{head}\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+    tracker = eras.EraTracker(fakes.RecordingJournal())
+    session = connections.make_session(headers.NAMES.call_id, force_close=True)
+    async with raw_server.RawServer([answer]) as server:
+        client = era_store.EraStore(
+            store.PlatformStore(server.address, session, 1.0, 1.0, tracker),
+            tracker,
+        )
+        lease = (await client.open_lease(1.0)).ok_value
+        renewal = await client.renew_lease(lease)
+        written = await client.write([], [])
+    await session.close()
+    assert revisions.number_of(lease) == number
+    assert renewal.is_ok()
+    assert revisions.number_of(written.ok_value) == number
