--- a/tests/store/test_eras.py
+++ b/tests/store/test_eras.py
@@ -95,8 +95,8 @@
         f"HTTP/1.1 200 OK{head}\r\nContent-Length: {len(body)}\r\n\r\n{body}"
     ).encode()
     tracker = eras.EraTracker(fakes.RecordingJournal())
-    session = connections.make_session(headers.NAMES.call_id, force_close=True)
-    async with raw_server.RawServer([answer]) as server:
+    session = connections.make_session(headers.NAMES.call_id, force_close=False)
+    async with raw_server.RawServer(*[[answer]] * 3) as server:
         client = era_store.EraStore(
             store.PlatformStore(server.address, session, 1.0, 1.0, tracker),
             tracker,
