Play lost moves step by step, and more often in the state machine

Forty plays in which moves are lost, by what became of the leader, and two rules (lost moves, healing).

--- a/tests/ownership/test_era_machine.py
+++ b/tests/ownership/test_era_machine.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from tests.utils import era_world
 
@@ -33,6 +34,12 @@
     def recover(self):
         if self.world.violations:
             return
+        self.heal()
+        self.world.run(RECOVERY_SECONDS)
+        self.has_no_violation()
+        assert not self.world.unheld_keys()
+
+    def heal(self):
         for node in self.world.nodes.values():
             node.link.resume()
         for name, target in list(self.world.targets.items()):
@@ -40,9 +47,6 @@
             self.world.listed[name] = target.owner
             if target.is_unresponsive:
                 self.world.start_target(name)
-        self.world.run(RECOVERY_SECONDS)
-        self.has_no_violation()
-        assert not self.world.unheld_keys()
 
     def _node(self, name):
         if name == "leader":
@@ -59,6 +63,26 @@
         self.world.drill(back, away, keeps_leases)
         self.world.run(then)
 
+    @stateful.rule(
+        name=TARGET,
+        moving=strategies.sampled_from([0.3, 0.8]),
+        back=strategies.sampled_from([0.4, 1.2]),
+        away=strategies.sampled_from([0.05, 1.2]),
+        keeps_leases=strategies.booleans(),
+        then=SHORT,
+    )
+    def lose_moves(self, name, moving, back, away, keeps_leases, then):
+        """Loses the moves of a target's keys, which it gives up or not."""
+        self.world.unlist_target(name)
+        self.world.run(moving)
+        self.world.drill(moving + back, away, keeps_leases)
+        self.world.run(then)
+
+    @stateful.rule(then=SHORT)
+    def heal_all(self, then):
+        self.heal()
+        self.world.run(then)
+
     @stateful.rule(name=NODE, then=SHORT)
     def freeze_node(self, name, then):
         self._node(name).link.freeze()
@@ -125,3 +149,78 @@
     deadline=None,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
+
+
+@pytest.fixture
+def world():
+    created = era_world.World(NODES, TARGETS)
+    yield created
+    created.close()
+
+
+def _leader_lives(world):
+    world.unlist_target("a")
+    world.run(MOVE_SECONDS)
+
+
+def _leader_restarts(world):
+    world.unlist_target("a")
+    world.run(MOVE_SECONDS)
+    world.restart_node(world.find_leader())
+
+
+def _leader_freezes(world):
+    """It resumes in the next era, with its orders of before."""
+    world.unlist_target("a")
+    world.run(MOVE_SECONDS)
+    world.nodes[world.find_leader()].link.freeze()
+
+
+def _another_leads(world):
+    """The one before resumes in the next era, and knows nothing of it."""
+    world.nodes[world.find_leader()].link.freeze()
+    world.run(3.0)
+    world.unlist_target("a")
+    world.run(MOVE_SECONDS)
+
+
+def _terms_change(world):
+    for _ in range(2):
+        world.restart_node(world.find_leader())
+        world.run(2.5)
+    world.unlist_target("a")
+    world.run(MOVE_SECONDS)
+
+
+MOVE_SECONDS = 0.8
+
+
+@pytest.mark.parametrize("keeps_leases", [False, True])
+@pytest.mark.parametrize("away", [0.05, 2.0])
+@pytest.mark.parametrize("back", [MOVE_SECONDS + 0.4, 8.0])
+@pytest.mark.parametrize(
+    "move",
+    [
+        _leader_lives,
+        _leader_restarts,
+        _leader_freezes,
+        _another_leads,
+        _terms_change,
+    ],
+)
+def test_lost_moves_make_no_second_holder(
+    world, move, back, away, keeps_leases
+):
+    """Targets hold keys that the copy gives to others, or again move then."""
+    world.run(12.0)
+    move(world)
+    world.drill(back, away, keeps_leases)
+    world.run(0.05)
+    for node in world.nodes.values():
+        node.link.resume()
+    world.run(1.0)
+    world.unlist_target("b")
+    world.listed["a"] = world.targets["a"].owner
+    world.run(20.0)
+    assert not world.violations
+    assert not world.unheld_keys()
