--- a/tests/ownership/test_era_machine.py
+++ b/tests/ownership/test_era_machine.py
@@ -177,11 +177,23 @@
 
 
 def _another_leads(world):
-    """The one before resumes in the next era, and knows nothing of it."""
+    """The one before resumes first in the next era, and knows nothing of it."""
     world.nodes[world.find_leader()].link.freeze()
     world.run(3.0)
     world.unlist_target("a")
     world.run(MOVE_SECONDS)
+    world.nodes[world.find_leader()].link.freeze()
+
+
+def _owner_is_silent(world):
+    """It has long grants, and no node remembers that it got keys."""
+    world.unlist_target("a")
+    world.run(MOVE_SECONDS)
+    world.store.is_down = True
+    world.run(MOVE_SECONDS)
+    world.targets["b"].is_unresponsive = True
+    for name in NODES:
+        world.restart_node(name)
 
 
 def _terms_change(world):
@@ -205,6 +217,7 @@
         _leader_restarts,
         _leader_freezes,
         _another_leads,
+        _owner_is_silent,
         _terms_change,
     ],
 )
@@ -216,8 +229,9 @@
     move(world)
     world.drill(back, away, keeps_leases)
     world.run(0.05)
-    for node in world.nodes.values():
+    for node in world.frozen_nodes():
         node.link.resume()
+        world.run(0.5)
     world.run(1.0)
     world.unlist_target("b")
     world.listed["a"] = world.targets["a"].owner
--- a/tests/utils/era_world.py
+++ b/tests/utils/era_world.py
@@ -87,10 +87,15 @@
 
 
 class NodeLink(era_fakes.Link):
-    """Carries all calls of a node, unless its process is frozen."""
+    """Carries all calls of a node, unless its process is frozen.
+
+    Attributes:
+        frozen_at: When it was frozen last.
+    """
 
     def __init__(self):
         self._running = asyncio.Event()
+        self.frozen_at = 0.0
         self._running.set()
 
     @property
@@ -98,6 +103,7 @@
         return not self._running.is_set()
 
     def freeze(self):
+        self.frozen_at = clock.boottime()
         self._running.clear()
 
     def resume(self):
@@ -393,6 +399,11 @@
             next(iter(self.nodes)),
         )
 
+    def frozen_nodes(self):
+        """Returns the frozen nodes; those frozen first come first."""
+        frozen = [node for node in self.nodes.values() if node.link.is_frozen]
+        return sorted(frozen, key=lambda node: node.link.frozen_at)
+
     def restart_node(self, name):
         async def restart():
             self.nodes[name].kill()
